Build the real node around the decision module

One program on Netty: client side, pool of server connections, discovery's watch, and the node that drives the module between them. Settings go through the adapter's BootInfo, now fed with path=value pairs.

--- a/src/main/java/cedarrelay/benchlink/BootInfo.java
+++ b/src/main/java/cedarrelay/benchlink/BootInfo.java
@@ -1,6 +1,5 @@
 package cedarrelay.benchlink;
 
-import java.util.HashMap;
 import java.util.Map;
 
 import cedarrelay.Balancer.Group;
@@ -12,24 +11,26 @@
 
 /**
  * Turns the wire's settings into the module's. Missing settings take the module's documented defaults,
- * but for the classes and their main figures, which are named as missing.
+ * but for the classes and their main figures, which are named as missing. The adapter and the real node
+ * share it, so that both run the module under the same settings.
  */
-final class BootInfo {
-    private final Map<String, String> values = new HashMap<>();
-    private final Line line;
+public final class BootInfo {
+    private final Map<String, String> values;
 
-    private BootInfo(Line line) {
-        this.line = line;
-        for (int i = 0; i < line.fieldCount(); i++) {
-            values.put(line.key(i), line.value(i));
-        }
+    private BootInfo(Map<String, String> values) {
+        this.values = values;
     }
 
-    static Settings read(Line line) throws WireException {
-        return new BootInfo(line).settings();
+    /**
+     * Reads settings given as the wire's path=value pairs.
+     *
+     * @throws IllegalArgumentException naming the path that is missing or senseless
+     */
+    public static Settings read(Map<String, String> values) {
+        return new BootInfo(values).settings();
     }
 
-    private Settings settings() throws WireException {
+    private Settings settings() {
         Settings set = new Settings();
         set.nodes = (int) whole("balancers", set.nodes);
         for (String zone : list("zones")) {
@@ -77,7 +78,7 @@
         return set;
     }
 
-    private RequestClass requestClass(String prefix) throws WireException {
+    private RequestClass requestClass(String prefix) {
         String repeat = need(prefix + "repeat");
         String group = values.getOrDefault(prefix + "group", "all");
         return new RequestClass(need(prefix + "name"), whole(prefix + "onTimeUs"),
@@ -87,21 +88,21 @@
                     case "safe" -> Repeat.SAFE;
                     case "keyed" -> Repeat.KEYED;
                     case "unsafe" -> Repeat.UNSAFE;
-                    default -> throw line.bad(prefix + "repeat", "is unknown: " + repeat);
+                    default -> throw bad(prefix + "repeat", "is unknown: " + repeat);
                 },
                 switch (group) {
                     case "all" -> Group.ALL;
                     case "zone" -> Group.ZONE;
                     case "cell" -> Group.CELL;
-                    default -> throw line.bad(prefix + "group", "is unknown: " + group);
+                    default -> throw bad(prefix + "group", "is unknown: " + group);
                 },
                 whole(prefix + "windowUs", 0), flag(prefix + "stream"));
     }
 
-    private String need(String path) throws WireException {
+    private String need(String path) {
         String value = values.get(path);
         if (value == null) {
-            throw line.bad(path, "is missing");
+            throw bad(path, "is missing");
         }
         return value;
     }
@@ -116,23 +117,27 @@
         return "1".equals(value) || "true".equals(value);
     }
 
-    private long whole(String path) throws WireException {
+    private long whole(String path) {
         return (long) decimal(path, need(path));
     }
 
-    private long whole(String path, long otherwise) throws WireException {
+    private long whole(String path, long otherwise) {
         return values.containsKey(path) ? whole(path) : otherwise;
     }
 
-    private double decimal(String path, double otherwise) throws WireException {
+    private double decimal(String path, double otherwise) {
         return values.containsKey(path) ? decimal(path, need(path)) : otherwise;
     }
 
-    private double decimal(String path, String text) throws WireException {
+    private double decimal(String path, String text) {
         try {
             return Double.parseDouble(text);
         } catch (NumberFormatException e) {
-            throw line.bad(path, "is not a number");
+            throw bad(path, "is not a number");
         }
     }
+
+    private static IllegalArgumentException bad(String path, String reason) {
+        return new IllegalArgumentException(path + " " + reason);
+    }
 }
--- a/src/main/java/cedarrelay/benchlink/Link.java
+++ b/src/main/java/cedarrelay/benchlink/Link.java
@@ -142,8 +142,17 @@
     }
 
     private void boot(String node) throws WireException {
-        Settings settings = BootInfo.read(line);
         long seed = line.whole("initSeed");
+        Map<String, String> values = new HashMap<>();
+        for (int i = 0; i < line.fieldCount(); i++) {
+            values.put(line.key(i), line.value(i));
+        }
+        Settings settings;
+        try {
+            settings = BootInfo.read(values);
+        } catch (IllegalArgumentException e) {
+            throw line.bad("boot: field " + e.getMessage());
+        }
         Map<String, Integer> classes = new HashMap<>();
         settings.classes.forEach(c -> classes.put(c.name(), classes.size()));
         Map<String, Integer> tenants = new HashMap<>();
--- /dev/null
+++ b/src/main/java/cedarrelay/node/ClientRequest.java
@@ -0,0 +1,141 @@
+package cedarrelay.node;
+
+import java.util.HashMap;
+import java.util.Map;
+
+import cedarrelay.Balancer.Repeat;
+import cedarrelay.Balancer.RequestClass;
+import cedarrelay.Balancer.Settings;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/**
+ * A client's request, read and checked.
+ *
+ * @param id its {@code X-Txn}
+ * @param remainingUs how long the client waits, counted from when it sent the request
+ * @param headers what goes on to a server: all but what belongs to the client's connection
+ */
+record ClientRequest(long id, int classIndex, int tenant, long remainingUs, long workUs, boolean retry,
+        HttpMethod method, String uri, HttpHeaders headers, byte[] body) {
+
+    static final String REMAINING = "X-Remaining-Ms";
+    private static final String ID = "X-Txn";
+    private static final String TENANT = "X-Org";
+    private static final String KEY = "Idempotency-Key";
+    private static final String RETRY = "X-Resent";
+    private static final String ESTIMATE = "X-Estimate";
+    /** Of one connection only, or set anew for the next. */
+    private static final CharSequence[] HOP_BY_HOP = {HttpHeaderNames.CONNECTION, "Keep-Alive",
+        HttpHeaderNames.PROXY_AUTHORIZATION, HttpHeaderNames.TE, HttpHeaderNames.TRAILER,
+        HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderNames.UPGRADE, HttpHeaderNames.EXPECT,
+        HttpHeaderNames.CONTENT_LENGTH, REMAINING};
+
+    /** The message for a server that is waited for so long. */
+    FullHttpRequest forServer(long waitUs) {
+        FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri,
+                Unpooled.wrappedBuffer(body), headers.copy(),
+                DefaultHttpHeadersFactory.trailersFactory().newEmptyHeaders());
+        message.headers().set(REMAINING, Math.max(1, waitUs / 1_000));
+        if (body.length > 0 || method.equals(HttpMethod.POST)) {
+            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+        }
+        return message;
+    }
+
+    /** Reads requests by the names in the settings. */
+    static final class Reader {
+        private final Settings settings;
+        private final Map<String, Integer> classes = new HashMap<>();
+        private final Map<String, Integer> tenants = new HashMap<>();
+
+        Reader(Settings settings) {
+            this.settings = settings;
+            settings.classes.forEach(c -> classes.put(c.name(), classes.size()));
+            settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
+        }
+
+        ClientRequest read(FullHttpRequest http) throws BadRequest {
+            HttpHeaders headers = http.headers();
+            Integer classIndex = classes.get(className(http.uri()));
+            if (classIndex == null) {
+                throw new BadRequest(HttpResponseStatus.NOT_FOUND, "unknown class of request");
+            }
+            RequestClass cls = settings.classes.get(classIndex);
+            HttpMethod method = cls.repeat() == Repeat.SAFE ? HttpMethod.GET : HttpMethod.POST;
+            if (!http.method().equals(method)) {
+                throw new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use " + method);
+            }
+            if (cls.repeat() == Repeat.KEYED && !headers.contains(KEY)) {
+                throw bad(KEY + " is missing");
+            }
+            String org = headers.get(TENANT);
+            Integer tenant = org == null ? Integer.valueOf(-1) : tenants.get(org);
+            if (tenant == null) {
+                throw bad("unknown " + TENANT);
+            }
+            // Digits alone may be a resent header of a confused client: 24 days are no wait.
+            long remainingMs = whole(headers.get(REMAINING), 9);
+            if (remainingMs < 0) {
+                throw bad(REMAINING + " is missing or no whole number of milliseconds");
+            }
+            long workUs = Math.max(0, whole(headers.get(ESTIMATE), 12));
+            HttpHeaders onward = headers.copy();
+            for (String named : headers.getAll(HttpHeaderNames.CONNECTION)) {
+                for (String name : named.split(",")) {
+                    if (!name.isBlank() && !name.trim().equalsIgnoreCase(ID)
+                            && !name.trim().equalsIgnoreCase(KEY)) {
+                        onward.remove(name.trim());
+                    }
+                }
+            }
+            for (CharSequence name : HOP_BY_HOP) {
+                onward.remove(name);
+            }
+            return new ClientRequest(id(headers), classIndex, tenant, 1_000 * remainingMs, workUs,
+                    "1".equals(headers.get(RETRY)), method, http.uri(), onward,
+                    ByteBufUtil.getBytes(http.content()));
+        }
+
+        private static String className(String uri) {
+            int end = 1;
+            while (end < uri.length() && "/?#".indexOf(uri.charAt(end)) < 0) {
+                end++;
+            }
+            return uri.startsWith("/") ? uri.substring(1, end) : "";
+        }
+
+        private static long id(HttpHeaders headers) throws BadRequest {
+            String id = headers.get(ID);
+            if (id == null || !id.matches("[0-9a-fA-F]{16}") || headers.getAll(ID).size() > 1) {
+                throw bad(ID + " is missing or not 16 hex digits");
+            }
+            return Long.parseUnsignedLong(id, 16);
+        }
+
+        /** Plain digits, or -1. */
+        private static long whole(String text, int mostDigits) {
+            if (text == null || text.isEmpty() || text.length() > mostDigits) {
+                return -1;
+            }
+            for (int i = 0; i < text.length(); i++) {
+                if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                    return -1;
+                }
+            }
+            return Long.parseLong(text);
+        }
+
+        private static BadRequest bad(String reason) {
+            return new BadRequest(HttpResponseStatus.BAD_REQUEST, reason);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -0,0 +1,207 @@
+package cedarrelay.node;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/** The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. */
+final class Discovery {
+    /** A line comes every 2 s, the first one within the call's own time limit: this is well past both. */
+    static final long SILENT_MS = 6_000;
+    private static final int CONNECT_MS = 2_000;
+    /** A line for each of some thousand servers; past it a message is malformed. */
+    private static final int MAX_MESSAGE = 1 << 20;
+    private static final int MAX_LINE = 4_096;
+    private static final int MAX_HEADERS = 8_192;
+
+    /** Where the news goes. */
+    interface Listener {
+        void onList(ServerList list);
+
+        /** The watch could not be opened or has ended. */
+        void onWatchFailed(String reason);
+    }
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Listener listener;
+    private final long silentMs;
+    private long revision;
+    private Watch watch;
+
+    Discovery(EventLoop loop, InetSocketAddress address, long revision, long silentMs, Listener listener) {
+        this.loop = loop;
+        this.address = address;
+        this.revision = revision;
+        this.silentMs = silentMs;
+        this.listener = listener;
+    }
+
+    /** Asks for changes from now on; takes the place of a watch that is still open. */
+    void subscribe() {
+        if (watch != null) {
+            watch.close();
+        }
+        watch = new Watch();
+        watch.open();
+    }
+
+    void close() {
+        if (watch != null) {
+            watch.close();
+            watch = null;
+        }
+    }
+
+    /** One call and the answer that stays open. */
+    private final class Watch extends ChannelInboundHandlerAdapter {
+        private final ByteBuf text = Unpooled.buffer();
+        private Channel channel;
+        private ScheduledFuture<?> silence;
+        private boolean over;
+
+        void open() {
+            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+            NioSocketChannel fresh;
+            try {
+                fresh = new NioSocketChannel();
+            } catch (ChannelException e) {
+                // Out of descriptors: as good as no connection. Later, since the caller is mid-call.
+                loop.execute(() -> fail("can't be opened: " + e.getCause()));
+                return;
+            }
+            channel = fresh;
+            new Bootstrap().group(loop).channelFactory(() -> fresh).disableResolver()
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .handler(new ChannelInitializer<SocketChannel>() {
+                        @Override
+                        protected void initChannel(SocketChannel to) {
+                            to.pipeline().addLast(new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192),
+                                    Watch.this);
+                        }
+                    }).connect(address).addListener(done -> {
+                        if (done.isSuccess()) {
+                            ask();
+                        } else {
+                            fail("can't be connected: " + done.cause());
+                        }
+                    });
+        }
+
+        private void ask() {
+            DefaultFullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                    "/v1/endpoints?watch=1&after=" + revision);
+            call.headers().set(HttpHeaderNames.HOST,
+                    address.getAddress().getHostAddress() + ":" + address.getPort());
+            channel.writeAndFlush(call);
+        }
+
+        void close() {
+            over = true;
+            silence.cancel(false);
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        private void fail(String reason) {
+            if (over) {
+                return;
+            }
+            close();
+            watch = null;
+            listener.onWatchFailed(reason);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                if (!over) {
+                    read(message);
+                }
+            } catch (IllegalArgumentException e) {
+                fail("malformed: " + e.getMessage());
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void read(Object message) {
+            if (message instanceof HttpResponse head) {
+                if (head.decoderResult().isFailure() || !head.status().equals(HttpResponseStatus.OK)) {
+                    fail("answered " + head.status());
+                    return;
+                }
+            }
+            if (message instanceof HttpContent content) {
+                if (content.decoderResult().isFailure()) {
+                    fail("malformed: " + content.decoderResult().cause());
+                    return;
+                }
+                heard();
+                text.writeBytes(content.content());
+                lines();
+                if (message instanceof LastHttpContent) {
+                    fail("ended");
+                }
+            }
+        }
+
+        private void heard() {
+            silence.cancel(false);
+            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+        }
+
+        private void lines() {
+            int end = text.bytesBefore((byte) '\n');
+            while (end >= 0 && !over) {
+                String line = text.toString(text.readerIndex(), end, StandardCharsets.UTF_8);
+                text.skipBytes(end + 1);
+                if (!line.isBlank()) {
+                    ServerList list = ServerList.parse(line);
+                    revision = list.revision();
+                    listener.onList(list);
+                }
+                end = text.bytesBefore((byte) '\n');
+            }
+            text.discardSomeReadBytes();
+            if (text.readableBytes() > MAX_MESSAGE) {
+                throw new IllegalArgumentException("a line over " + MAX_MESSAGE + " bytes");
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            fail("broken");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            fail("broken: " + cause);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrelay/node/ServerList.java
@@ -0,0 +1,91 @@
+package cedarrelay.node;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+import cedarrelay.Balancer.ServerState;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+
+/**
+ * A message of discovery: the whole list of servers, or what changed since the version before.
+ *
+ * @param revision the version of the list
+ * @param all whether it is the whole list
+ */
+record ServerList(long revision, boolean all, List<Target> targets) {
+
+    /**
+     * One server in it.
+     *
+     * @param bootMs when it last started, Unix time in milliseconds; 0 for long ago
+     */
+    record Target(String id, InetSocketAddress address, String zone, int cell, ServerState state,
+            double weight, long bootMs) { }
+
+    /** Throws IllegalArgumentException with a short reason if the text is not such a message. */
+    static ServerList parse(String json) {
+        try {
+            return of(JsonParser.parseString(json));
+        } catch (JsonParseException e) {
+            throw new IllegalArgumentException("not JSON: " + e.getMessage(), e);
+        }
+    }
+
+    /** A message is taken whole or not at all: half of one would leave a list that never was. */
+    static ServerList of(JsonElement json) {
+        try {
+            JsonObject message = json.getAsJsonObject();
+            List<Target> targets = new ArrayList<>();
+            for (JsonElement target : message.getAsJsonArray("targets")) {
+                targets.add(target(target.getAsJsonObject()));
+            }
+            return new ServerList(need(message, "rev").getAsLong(), need(message, "all").getAsBoolean(),
+                    List.copyOf(targets));
+        } catch (IllegalStateException | NullPointerException | UnsupportedOperationException
+                | ClassCastException e) {
+            throw new IllegalArgumentException("not a list of servers: " + e.getMessage(), e);
+        }
+    }
+
+    private static Target target(JsonObject entry) {
+        String state = need(entry, "state").getAsString();
+        return new Target(need(entry, "uid").getAsString(), address(need(entry, "endpoint").getAsString()),
+                entry.has("az") ? entry.get("az").getAsString() : "",
+                entry.has("pod_group") ? entry.get("pod_group").getAsInt() : 0,
+                switch (state) {
+                    case "Ready" -> ServerState.READY;
+                    case "Terminating" -> ServerState.DRAINING;
+                    case "Gone" -> ServerState.GONE;
+                    default -> throw new IllegalArgumentException("unknown state " + state);
+                }, entry.has("capacity_hint") ? entry.get("capacity_hint").getAsDouble() : 1,
+                entry.has("boot_ms") ? entry.get("boot_ms").getAsLong() : 0);
+    }
+
+    private static JsonElement need(JsonObject object, String name) {
+        JsonElement value = object.get(name);
+        if (value == null) {
+            throw new IllegalArgumentException(name + " is missing");
+        }
+        return value;
+    }
+
+    /** A numeric host and a port. There is no DNS, and looking a name up would block. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        String digits = text.substring(colon + 1);
+        if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]") || !digits.matches("[0-9]{1,5}")
+                || Integer.parseInt(digits) > 65_535) {
+            throw new IllegalArgumentException("not an address and port: " + text);
+        }
+        InetSocketAddress address = new InetSocketAddress(host, Integer.parseInt(digits));
+        if (address.isUnresolved()) {
+            throw new IllegalArgumentException("not an address and port: " + text);
+        }
+        return address;
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -0,0 +1,459 @@
+package cedarrelay.node;
+
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import cedarrelay.Balancer.Result;
+import cedarrelay.Balancer.ServerState;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Connections to servers, one request on each at a time, and the attempts on them. It sends where it is
+ * told, once, and reports how that ended; nothing here sends again.
+ */
+final class ServerPool {
+    static final int MAX_BODY = 64 * 1024;
+    private static final String TURNED_AWAY = "X-Turned-Away";
+    private static final int MAX_LINE = 4_096;
+    private static final int MAX_HEADERS = 16_384;
+    private static final long SWEEP_MS = 500;
+
+    /** Who wants an attempt: what to send, and where to report. */
+    interface Caller {
+        /** The message, asked for when it goes out. */
+        FullHttpRequest message();
+
+        /** The one report on the attempt; the answer is there when the result is OK or ERROR. */
+        void ended(Result result, Answer answer);
+    }
+
+    /** A server as the pool knows it. */
+    private static final class Server {
+        InetSocketAddress address;
+        long bootMs;
+        boolean gone;
+        /** Counts addresses and processes: a connection of an earlier one is not reused. */
+        int generation;
+        int dialing;
+        /** Most recently used first. */
+        final Deque<Connection> idle = new ArrayDeque<>();
+        final Deque<Attempt> waiting = new ArrayDeque<>();
+    }
+
+    /** One request on its way to one server. */
+    final class Attempt {
+        private final Server server;
+        private final Caller caller;
+        private Connection connection;
+        private boolean over;
+
+        private Attempt(Server server, Caller caller) {
+            this.server = server;
+            this.caller = caller;
+        }
+
+        /** Whether anything of it may have reached a server. */
+        boolean isOut() {
+            return connection != null;
+        }
+
+        /**
+         * Stops waiting. What never went out is MOOT and stays unsent; what was not handed over whole
+         * can't have run; only what was is reported as the caller says.
+         */
+        void giveUp(Result result) {
+            if (over) {
+                return;
+            }
+            if (connection == null) {
+                server.waiting.remove(this);
+                end(Result.MOOT, null);
+                return;
+            }
+            Connection used = connection;
+            used.attempt = null;
+            // Its answer may still come: the connection can't carry another request.
+            used.channel.close();
+            end(used.written ? result : Result.CONNECT_FAILED, null);
+        }
+
+        private void end(Result result, Answer answer) {
+            if (!over) {
+                over = true;
+                caller.ended(result, answer);
+            }
+        }
+    }
+
+    private final EventLoop loop;
+    private final Sockets sockets;
+    private final Bootstrap bootstrap;
+    private final long keepIdleNs;
+    private final Map<String, Server> servers = new HashMap<>();
+
+    ServerPool(EventLoop loop, Sockets sockets, long dialTimeoutUs, long connIdleUs) {
+        this.loop = loop;
+        this.sockets = sockets;
+        // A request written to a connection that the server is just closing may have run for all we know.
+        keepIdleNs = TimeUnit.MICROSECONDS.toNanos(connIdleUs) / 2;
+        bootstrap = new Bootstrap().group(loop).disableResolver()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1_000))
+                .option(ChannelOption.TCP_NODELAY, true);
+        sockets.addIdleCloser(this::closeOldestIdle);
+        loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Takes in the list: new servers, moved ones, restarted ones and those that are gone. */
+    void update(ServerList list) {
+        Set<String> named = new HashSet<>();
+        for (ServerList.Target target : list.targets()) {
+            named.add(target.id());
+            Server server = servers.computeIfAbsent(target.id(), id -> new Server());
+            boolean moved = server.address != null && !server.address.equals(target.address());
+            boolean restarted = target.bootMs() > server.bootMs;
+            server.address = target.address();
+            server.bootMs = target.bootMs();
+            server.gone = target.state() == ServerState.GONE;
+            if (moved || restarted) {
+                server.generation++;
+                server.dialing = 0;
+                closeIdle(server);
+                // Those that wait were dialling the old address.
+                for (int i = server.waiting.size(); i > 0; i--) {
+                    dial(server);
+                }
+            }
+        }
+        if (list.all()) {
+            servers.forEach((id, server) -> server.gone |= !named.contains(id));
+        }
+        servers.values().stream().filter(s -> s.gone).forEach(ServerPool::closeIdle);
+        servers.values().removeIf(s -> s.gone && s.waiting.isEmpty());
+    }
+
+    /** Starts an attempt; it may be reported before this returns. */
+    Attempt start(String serverId, Caller caller) {
+        Server server = servers.get(serverId);
+        Attempt attempt = new Attempt(server, caller);
+        if (server == null) {
+            attempt.end(Result.CONNECT_FAILED, null);
+            return attempt;
+        }
+        Connection connection = takeIdle(server);
+        if (connection != null) {
+            connection.send(attempt);
+        } else {
+            server.waiting.add(attempt);
+            dial(server);
+        }
+        return attempt;
+    }
+
+    private Connection takeIdle(Server server) {
+        Connection connection = server.idle.poll();
+        while (connection != null && (!connection.channel.isActive()
+                || System.nanoTime() - connection.idleSince > keepIdleNs)) {
+            connection.channel.close();
+            connection = server.idle.poll();
+        }
+        return connection;
+    }
+
+    private void dial(Server server) {
+        int generation = server.generation;
+        server.dialing++;
+        if (!sockets.addServer()) {
+            dialFailed(server, generation);
+            return;
+        }
+        NioSocketChannel channel;
+        try {
+            channel = new NioSocketChannel();
+        } catch (ChannelException e) {
+            // Out of descriptors, most likely: an idle one less lets the next dial through.
+            sockets.removeServer();
+            sockets.closeIdle();
+            dialFailed(server, generation);
+            return;
+        }
+        channel.closeFuture().addListener(closed -> sockets.removeServer());
+        Connection connection = new Connection(server, generation, channel);
+        bootstrap.clone().channelFactory(() -> channel).handler(new ChannelInitializer<SocketChannel>() {
+            @Override
+            protected void initChannel(SocketChannel fresh) {
+                fresh.pipeline().addLast(connection.new IdleGuard(),
+                        new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192), connection);
+            }
+        }).connect(server.address).addListener(done -> {
+            if (!done.isSuccess()) {
+                dialFailed(server, generation);
+            } else {
+                server.dialing -= generation == server.generation ? 1 : 0;
+                connection.park();
+            }
+        });
+    }
+
+    /** Each dial answers for one of those that wait: the first in line, if it is not to have another's. */
+    private void dialFailed(Server server, int generation) {
+        if (generation != server.generation) {
+            return;
+        }
+        server.dialing--;
+        if (server.waiting.size() > server.dialing) {
+            server.waiting.poll().end(Result.CONNECT_FAILED, null);
+        }
+    }
+
+    private void sweep() {
+        long now = System.nanoTime();
+        for (Server server : servers.values()) {
+            while (!server.idle.isEmpty() && now - server.idle.peekLast().idleSince > keepIdleNs) {
+                server.idle.pollLast().channel.close();
+            }
+        }
+    }
+
+    private static void closeIdle(Server server) {
+        Collection<Connection> idle = new ArrayList<>(server.idle);
+        server.idle.clear();
+        idle.forEach(c -> c.channel.close());
+    }
+
+    private boolean closeOldestIdle() {
+        Server oldest = null;
+        for (Server server : servers.values()) {
+            if (!server.idle.isEmpty() && (oldest == null
+                    || server.idle.peekLast().idleSince - oldest.idle.peekLast().idleSince < 0)) {
+                oldest = server;
+            }
+        }
+        if (oldest == null) {
+            return false;
+        }
+        oldest.idle.pollLast().channel.close();
+        return true;
+    }
+
+    /** One connection: idle, or with the one attempt that it carries. */
+    private final class Connection extends ChannelInboundHandlerAdapter {
+        private final Server server;
+        private final int generation;
+        private final Channel channel;
+        private Attempt attempt;
+        private boolean written;
+        private long idleSince;
+        private HttpResponse head;
+        private byte[] body = new byte[0];
+        private Result result;
+        private boolean reusable;
+
+        Connection(Server server, int generation, Channel channel) {
+            this.server = server;
+            this.generation = generation;
+            this.channel = channel;
+        }
+
+        /** Carries the first attempt in line, or waits for one. */
+        void park() {
+            if (generation != server.generation) {
+                channel.close();
+                return;
+            }
+            if (!channel.isActive()) {
+                return;
+            }
+            Attempt next = server.waiting.poll();
+            if (next != null) {
+                send(next);
+            } else if (server.gone) {
+                channel.close();
+            } else {
+                idleSince = System.nanoTime();
+                server.idle.push(this);
+            }
+        }
+
+        void send(Attempt next) {
+            attempt = next;
+            next.connection = this;
+            written = false;
+            head = null;
+            body = new byte[0];
+            result = null;
+            // The future tells whether the kernel has taken the last byte; Netty never writes it twice.
+            channel.writeAndFlush(next.caller.message()).addListener(done -> {
+                if (attempt != next) {
+                    return;
+                }
+                if (done.isSuccess()) {
+                    written = true;
+                } else {
+                    attempt = null;
+                    channel.close();
+                    next.end(Result.CONNECT_FAILED, null);
+                }
+            });
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            try {
+                read(message);
+            } finally {
+                ReferenceCountUtil.release(message);
+            }
+        }
+
+        private void read(Object message) {
+            if (attempt == null || result != null) {
+                // Nothing was asked for, or a second answer came with the first.
+                reusable = false;
+                drop();
+                return;
+            }
+            if (message instanceof HttpResponse response) {
+                if (response.decoderResult().isFailure()) {
+                    broken();
+                    return;
+                }
+                head = response;
+            }
+            if (message instanceof HttpContent content) {
+                if (content.decoderResult().isFailure()
+                        || body.length + content.content().readableBytes() > MAX_BODY) {
+                    broken();
+                    return;
+                }
+                int size = content.content().readableBytes();
+                if (size > 0) {
+                    byte[] longer = Arrays.copyOf(body, body.length + size);
+                    content.content().readBytes(longer, body.length, size);
+                    body = longer;
+                }
+                if (message instanceof LastHttpContent) {
+                    whole();
+                }
+            }
+        }
+
+        private void whole() {
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+                head = null;
+                return;
+            }
+            int status = head.status().code();
+            boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+            boolean away = (status == 503 || status == 504) && "1".equals(head.headers().get(TURNED_AWAY));
+            if (status == 200 && !framed) {
+                // It ended with its connection: a process that died half way looks the same.
+                broken();
+                return;
+            }
+            result = status == 200 ? Result.OK : away ? Result.FULL : Result.ERROR;
+            reusable = HttpUtil.isKeepAlive(head) && framed && written;
+        }
+
+        /** The report waits for the end of what came at once, so that its connection can be used again. */
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            if (result != null) {
+                finish();
+            }
+        }
+
+        private void finish() {
+            Attempt done = attempt;
+            Answer answer = new Answer(head.status().code(),
+                    head.headers().get(HttpHeaderNames.CONTENT_TYPE), body);
+            Result as = result;
+            attempt = null;
+            result = null;
+            head = null;
+            if (reusable) {
+                park();
+            } else {
+                channel.close();
+            }
+            done.end(as, answer);
+        }
+
+        /** The connection or what came on it is broken: only a request not handed over whole never ran. */
+        private void broken() {
+            Attempt failed = attempt;
+            attempt = null;
+            drop();
+            if (failed != null) {
+                failed.end(written ? Result.RESET : Result.CONNECT_FAILED, null);
+            }
+        }
+
+        private void drop() {
+            server.idle.remove(this);
+            if (attempt == null) {
+                channel.close();
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (result != null) {
+                reusable = false;
+                finish();
+            } else {
+                broken();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (result != null) {
+                reusable = false;
+                finish();
+            } else {
+                broken();
+            }
+        }
+
+        /** Sees bytes before the codec does: part of an answer on an idle connection must not wait there
+         * to become the head of the next one. */
+        private final class IdleGuard extends ChannelInboundHandlerAdapter {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                if (attempt == null) {
+                    ReferenceCountUtil.release(message);
+                    drop();
+                } else {
+                    ctx.fireChannelRead(message);
+                }
+            }
+        }
+    }
+}
