Test the node over loopback sockets

Every line of the protocol's table of outcomes, a reset unsafe request, silence, a client leaving, idle closes, drains, the watch's failures, bad input, SIGTERM with a request held, and few descriptors.

--- /dev/null
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -0,0 +1,147 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The watch: what it tells, and each way in which it fails, told once. */
+@Timeout(120)
+class DiscoveryTest implements Discovery.Listener {
+    private final BlockingQueue<ServerList> lists = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> failures = new LinkedBlockingQueue<>();
+    private EventLoopGroup group;
+    private FakePeer peer;
+
+    @Override
+    public void onList(ServerList list) {
+        lists.add(list);
+    }
+
+    @Override
+    public void onWatchFailed(String reason) {
+        failures.add(reason);
+    }
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        peer = new FakePeer(FakePeer.SILENT);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        peer.close();
+    }
+
+    private Discovery subscribe(long silentMs) throws Exception {
+        EventLoop loop = group.next();
+        Discovery discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", peer.port()), 41, silentMs,
+                this);
+        loop.submit(discovery::subscribe).get();
+        return discovery;
+    }
+
+    private void failsOnce() throws Exception {
+        FakePeer.soon(failures);
+        FakePeer.soon(peer.ended);
+        group.next().submit(() -> { }).get();
+        assertTrue(failures.isEmpty(), "told twice");
+    }
+
+    @Test
+    void linesInAnyPiecesAreTold() throws Exception {
+        String changes = Fixture.list(42, false, "Ready", peer);
+        String whole = Fixture.list(50, true, "Terminating", peer);
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            Fixture.line(socket, "");
+            Fixture.line(socket, changes + "\n\n" + whole);
+        });
+        Discovery discovery = subscribe(20_000);
+        assertEquals(ServerList.parse(changes), FakePeer.soon(lists));
+        assertEquals(ServerList.parse(whole), FakePeer.soon(lists));
+        peer.nextRequest();
+        group.next().submit(discovery::subscribe).get();
+        assertTrue(peer.nextRequest().contains("&after=50 "), "asks from the version told last");
+        FakePeer.soon(peer.ended);
+        assertTrue(failures.isEmpty(), "a watch replaced is not one that failed");
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"{\"rev\":42,", "[]", "{\"rev\":42,\"all\":false}", "{\"rev\":42,\"all\":false,\"targets\":"
+            + "[{\"uid\":\"s\",\"endpoint\":\"example:80\",\"state\":\"Ready\"}]}", "{\"rev\":42,\"all\":false,"
+            + "\"targets\":[{\"uid\":\"s\",\"endpoint\":\"127.0.0.1:80\",\"state\":\"Odd\"}]}",
+        "{\"rev\":\"x\",\"all\":false,\"targets\":[]}", "{\"rev\":1,\"all\":true,\"targets\":[null]}"})
+    void aMalformedMessageCostsTheWatchAndIsNotTaken(String message) throws Exception {
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            Fixture.line(socket, message);
+        });
+        subscribe(20_000);
+        failsOnce();
+        assertTrue(lists.isEmpty());
+    }
+
+    @Test
+    void aBrokenWatchIsTold() throws Exception {
+        peer.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            FakePeer.RESET.run(socket, request);
+        });
+        subscribe(20_000);
+        failsOnce();
+    }
+
+    @Test
+    void anErrorIsTold() throws Exception {
+        peer.script(FakePeer.answer("503 Later", "", "busy"));
+        subscribe(20_000);
+        failsOnce();
+    }
+
+    @Test
+    void silenceIsTold() throws Exception {
+        peer.script((socket, request) -> Fixture.beginWatch(socket));
+        subscribe(200);
+        failsOnce();
+    }
+
+    @Test
+    void anAddressWhereNobodyListensIsTold() throws Exception {
+        peer.close();
+        subscribe(20_000);
+        FakePeer.soon(failures);
+        peer = new FakePeer(FakePeer.SILENT);
+    }
+
+    @Test
+    void heartbeatsKeepTheWatch() throws Exception {
+        subscribe(3_000);
+        Socket watch = FakePeer.soon(peer.accepted);
+        peer.nextRequest();
+        Fixture.beginWatch(watch);
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(4);
+        while (System.nanoTime() < until) {
+            Fixture.line(watch, "");
+            String failure = failures.poll(100, TimeUnit.MILLISECONDS);
+            assertEquals(null, failure);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrelay/node/FakePeer.java
@@ -0,0 +1,155 @@
+package cedarrelay.node;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+import java.util.Queue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A server, or discovery, on a loopback socket: records what it is sent and does as its script says. */
+final class FakePeer implements Closeable {
+    static final long PATIENCE_S = 30;
+
+    /** What to do with a request, or with a connection. */
+    interface Script {
+        void run(Socket socket, String request) throws IOException, InterruptedException;
+    }
+
+    static final Script SILENT = (socket, request) -> { };
+    static final Script RESET = (socket, request) -> {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    };
+    static final Script CLOSE = (socket, request) -> socket.close();
+
+    final BlockingQueue<String> requests = new LinkedBlockingQueue<>();
+    /** Connections that the other side has ended. */
+    final BlockingQueue<Socket> ended = new LinkedBlockingQueue<>();
+    final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
+    private final Queue<Socket> open = new ConcurrentLinkedQueue<>();
+    private final ServerSocket listening;
+    private volatile Script script;
+
+    FakePeer(Script script) throws IOException {
+        this.script = script;
+        listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        daemon(() -> {
+            while (true) {
+                Socket socket = listening.accept();
+                open.add(socket);
+                accepted.add(socket);
+                daemon(() -> serve(socket));
+            }
+        });
+    }
+
+    /** An answer with these headers and this body. */
+    static Script answer(String status, String headers, String body) {
+        String text = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
+                + body;
+        return raw(text);
+    }
+
+    static Script raw(String text) {
+        return (socket, request) -> write(socket, text);
+    }
+
+    static void write(Socket socket, String text) throws IOException {
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        socket.getOutputStream().flush();
+    }
+
+    void script(Script next) {
+        script = next;
+    }
+
+    int port() {
+        return listening.getLocalPort();
+    }
+
+    String address() {
+        return "127.0.0.1:" + port();
+    }
+
+    String nextRequest() throws InterruptedException {
+        return soon(requests);
+    }
+
+    static <T> T soon(BlockingQueue<T> queue) throws InterruptedException {
+        T next = queue.poll(PATIENCE_S, TimeUnit.SECONDS);
+        if (next == null) {
+            throw new AssertionError("nothing came");
+        }
+        return next;
+    }
+
+    private void serve(Socket socket) throws IOException, InterruptedException {
+        try {
+            for (String request = read(socket); request != null; request = read(socket)) {
+                requests.add(request);
+                script.run(socket, request);
+            }
+        } finally {
+            ended.add(socket);
+        }
+    }
+
+    /** One HTTP message with its body, or null at the end. */
+    static String read(Socket socket) throws IOException {
+        InputStream in = socket.getInputStream();
+        StringBuilder text = new StringBuilder();
+        while (text.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                return null;
+            }
+            text.append((char) b);
+        }
+        String length = header(text.toString(), "content-length");
+        byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
+        return text.append(new String(body, StandardCharsets.ISO_8859_1)).toString();
+    }
+
+    static String header(String message, String name) {
+        String head = message.substring(0, message.indexOf("\r\n\r\n"));
+        for (String line : head.split("\r\n")) {
+            if (line.toLowerCase(Locale.ROOT).startsWith(name.toLowerCase(Locale.ROOT) + ":")) {
+                return line.substring(name.length() + 1).trim();
+            }
+        }
+        return null;
+    }
+
+    @Override
+    public void close() throws IOException {
+        listening.close();
+        for (Socket socket : open) {
+            socket.close();
+        }
+    }
+
+    private interface Body {
+        void run() throws IOException, InterruptedException;
+    }
+
+    private static void daemon(Body body) {
+        Thread thread = new Thread(() -> {
+            try {
+                body.run();
+            } catch (IOException | InterruptedException e) {
+                // The connection or the test is over.
+                return;
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -0,0 +1,180 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.JsonObject;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The program as a process of its own: its start, its end, and few descriptors. */
+@Timeout(120)
+class MainTest {
+    private FakePeer discovery;
+    private FakePeer server;
+    private Process process;
+    private int port;
+
+    @BeforeEach
+    void open() throws Exception {
+        discovery = new FakePeer(FakePeer.SILENT);
+        server = new FakePeer(FakePeer.answer("200 OK", "", "done"));
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = free.getLocalPort();
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (process != null) {
+            process.destroyForcibly().waitFor();
+        }
+        discovery.close();
+        server.close();
+    }
+
+    private void start(JsonObject config, String before) throws Exception {
+        config.addProperty("listen", "127.0.0.1:" + port);
+        run(Fixture.write(config).toString(), before);
+        await("/ready");
+    }
+
+    private void run(String config, String before) throws IOException {
+        String path = System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
+                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -cp \"$JARS\" "
+                + "cedarrelay.node.Main");
+        builder.environment().put("JAVA", Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        builder.environment().put("JARS", path);
+        builder.environment().remove("LB_CONFIG");
+        builder.environment().remove("LB_LISTEN");
+        builder.environment().remove("LB_DISCOVERY");
+        if (config != null) {
+            builder.environment().put("LB_CONFIG", config);
+        }
+        process = builder.redirectErrorStream(true).start();
+    }
+
+    private String said() {
+        process.destroyForcibly();
+        try {
+            return new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            return e.toString();
+        }
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        return socket;
+    }
+
+    private void await(String path) throws Exception {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
+        String answer = "";
+        while (answer == null || !answer.startsWith("HTTP/1.1 200")) {
+            assertTrue(process.isAlive() && System.nanoTime() < until, "never ready");
+            try (Socket socket = connect()) {
+                FakePeer.write(socket, "GET " + path + " HTTP/1.1\r\n\r\n");
+                answer = FakePeer.read(socket);
+            } catch (IOException e) {
+                // Not listening yet: the process must get the processor to come so far.
+                process.waitFor(20, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    @Test
+    void sigtermWithARequestHeldAnswersItAndExitsWithZero() throws Exception {
+        server.script(FakePeer.SILENT);
+        start(Fixture.config(discovery, server), "");
+        Socket idle = connect();
+        Socket client = connect();
+        FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "x"));
+        server.nextRequest();
+        Socket attempt = FakePeer.soon(server.accepted);
+        process.destroy();
+        // Clients go on coming for a while, and are served.
+        Socket late = connect();
+        FakePeer.write(late, "GET /nothing HTTP/1.1\r\n\r\n");
+        assertTrue(FakePeer.read(late).startsWith("HTTP/1.1 404"), "a late connection is not served");
+        assertNull(FakePeer.read(idle), "an idle connection is closed after a while");
+        assertTrue(process.isAlive(), "gone with a request in hand");
+        FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        String answer = FakePeer.read(client);
+        assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("done"), answer);
+        assertEquals("close", FakePeer.header(answer, "Connection"));
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there after its last answer");
+        assertEquals(0, process.exitValue());
+    }
+
+    @Test
+    void itSurvivesRunningOutOfDescriptors() throws Exception {
+        // The configuration promises more than the system gives.
+        start(Fixture.config(discovery, server), "ulimit -n 100 && ");
+        // Classes are read from files here, which takes descriptors, and not from one open jar.
+        try (Socket before = connect()) {
+            FakePeer.write(before, Fixture.request("GET", "/view", 0, "", ""));
+            assertTrue(FakePeer.read(before).startsWith("HTTP/1.1 200"), "not served before");
+        }
+        List<Socket> many = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            many.add(connect());
+        }
+        // Idle ones make room, so that each that asks is answered; requests held stay.
+        Socket asking = many.get(many.size() - 1);
+        FakePeer.write(asking, Fixture.request("GET", "/view", 1, "", ""));
+        String answer = FakePeer.read(asking);
+        assertTrue(answer != null && answer.startsWith("HTTP/1.1 "), () -> "no answer while descriptors are short: "
+                + said());
+        for (Socket socket : many) {
+            socket.close();
+        }
+        try (Socket after = connect()) {
+            FakePeer.write(after, Fixture.request("GET", "/view", 2, "", ""));
+            assertTrue(FakePeer.read(after).startsWith("HTTP/1.1 200"), "not served afterwards");
+        }
+    }
+
+    @Test
+    void aBadConfigurationEndsItWithOneClearLine() throws Exception {
+        JsonObject noSettings = Fixture.config(discovery, server);
+        noSettings.remove("settings");
+        JsonObject noSeed = Fixture.config(discovery, server);
+        noSeed.remove("seed");
+        JsonObject noClasses = Fixture.config(discovery, server);
+        noClasses.getAsJsonObject("settings").remove("classes");
+        Path broken = Files.createTempFile("node", ".json");
+        Files.writeString(broken, "{");
+        rejected(null, "LB_CONFIG");
+        rejected("/nowhere/config.json", "LB_CONFIG");
+        rejected(broken.toString(), "JSON");
+        rejected(Fixture.write(noSettings).toString(), "settings");
+        rejected(Fixture.write(noSeed).toString(), "seed");
+        rejected(Fixture.write(noClasses).toString(), "classes");
+        Files.delete(broken);
+    }
+
+    private void rejected(String config, String named) throws Exception {
+        run(config, "");
+        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still running");
+        assertEquals(2, process.exitValue(), said);
+        assertTrue(said.contains(named) && said.lines().count() == 1, said);
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -0,0 +1,277 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import com.google.gson.JsonObject;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The whole node between fake clients, servers and discovery. */
+@Timeout(120)
+class NodeTest {
+    private static final FakePeer.Script SERVED = FakePeer.answer("200 OK", "", "done");
+
+    private EventLoopGroup group;
+    private FakePeer discovery;
+    private FakePeer first;
+    private FakePeer second;
+    private Socket client;
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        discovery = new FakePeer(FakePeer.SILENT);
+        first = new FakePeer(SERVED);
+        second = new FakePeer(SERVED);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        if (client != null) {
+            client.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        discovery.close();
+        first.close();
+        second.close();
+    }
+
+    private int start(JsonObject json) throws Exception {
+        EventLoop loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        Channel channel = loop.submit(() -> node.start(group)).get().sync().channel();
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    private void start(FakePeer... servers) throws Exception {
+        client = connect(start(Fixture.config(discovery, servers)));
+    }
+
+    private static Socket connect(int port) throws Exception {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        return socket;
+    }
+
+    private String ask(String request) throws Exception {
+        FakePeer.write(client, request);
+        return FakePeer.read(client);
+    }
+
+    private static int status(String answer) {
+        assertNotNull(answer, "the connection ended without an answer");
+        return Integer.parseInt(answer.substring(9, 12));
+    }
+
+    @Test
+    void aRequestGoesOnUnchangedAndIsServedOnce() throws Exception {
+        start(first);
+        String answer = ask(Fixture.request("POST", "/photo/7?size=2", 1, "Idempotency-Key: abc\r\n"
+                + "Cookie: key=9\r\nConnection: keep-alive\r\n", "pixels"));
+        assertEquals(200, status(answer));
+        assertTrue(answer.endsWith("\r\n\r\ndone"), answer);
+        String sent = first.nextRequest();
+        assertTrue(sent.startsWith("POST /photo/7?size=2 HTTP/1.1\r\n"), sent);
+        assertTrue(sent.endsWith("\r\n\r\npixels"), sent);
+        assertEquals("abc", FakePeer.header(sent, "Idempotency-Key"));
+        assertEquals("0000000000000001", FakePeer.header(sent, "X-Txn"));
+        assertEquals("key=9", FakePeer.header(sent, "Cookie"));
+        int left = Integer.parseInt(FakePeer.header(sent, "X-Remaining-Ms"));
+        assertTrue(left > 0 && left <= Fixture.REMAINING_MS, "waits for " + left);
+        assertTrue(first.requests.isEmpty());
+        assertEquals(200, status(ask("GET /ready HTTP/1.1\r\n\r\n")));
+    }
+
+    @Test
+    void requestsSentAheadAreAnsweredInOrder() throws Exception {
+        first.script((socket, request) -> {
+            String path = request.split(" ")[1];
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + path.length() + "\r\n\r\n" + path);
+        });
+        start(first);
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 40; i++) {
+            all.append(Fixture.request("GET", "/view/" + i, i, "", ""));
+        }
+        FakePeer.write(client, all.toString());
+        for (int i = 0; i < 40; i++) {
+            String answer = FakePeer.read(client);
+            assertTrue(answer.endsWith("\r\n\r\n/view/" + i), answer);
+        }
+    }
+
+    @Test
+    void anUnsafeRequestThatMayHaveRunIsNeverSentAgainNorRefused() throws Exception {
+        first.script(FakePeer.RESET);
+        second.script(FakePeer.RESET);
+        start(first, second);
+        int status = status(ask(Fixture.request("POST", "/order", 1, "", "")));
+        assertTrue(status >= 500 && status != 503, "answered " + status);
+        // Answers come after all sends: what follows would be seen only later than this round trip.
+        assertEquals(200, status(ask("GET /ready HTTP/1.1\r\n\r\n")));
+        assertEquals(1, first.requests.size() + second.requests.size());
+    }
+
+    @Test
+    void aSafeRequestPassesOnAfterAnError() throws Exception {
+        first.script(FakePeer.answer("500 No", "", ""));
+        start(first, second);
+        for (int i = 0; i < 8; i++) {
+            assertEquals(200, status(ask(Fixture.request("GET", "/view", i, "", ""))));
+        }
+        assertFalse(second.requests.isEmpty());
+    }
+
+    @Test
+    void aRefusalComesAtOnceWithAdvice() throws Exception {
+        first.script(FakePeer.answer("503 Full", "X-Turned-Away: 1\r\n", ""));
+        start(first);
+        String answer = ask(Fixture.request("POST", "/order", 1, "", ""));
+        assertEquals(503, status(answer));
+        assertEquals("1", FakePeer.header(answer, "Retry-After"));
+    }
+
+    @Test
+    void silenceIsAnsweredWithinTheClientsTimeAndItsConnectionEnded() throws Exception {
+        first.script(FakePeer.SILENT);
+        start(first);
+        long from = System.nanoTime();
+        int status = status(ask(Fixture.request("POST", "/slow", 1, "", "")
+                .replace("Remaining-Ms: " + Fixture.REMAINING_MS, "Remaining-Ms: 700")));
+        long tookMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - from);
+        assertTrue(status >= 500 && status != 503, "answered " + status);
+        assertTrue(tookMs >= 600, "given up after " + tookMs + " ms");
+        FakePeer.soon(first.ended);
+        assertEquals(1, first.requests.size());
+    }
+
+    @Test
+    void aClientThatLeavesEndsItsAttempt() throws Exception {
+        first.script(FakePeer.SILENT);
+        start(first);
+        FakePeer.write(client, Fixture.request("GET", "/view", 1, "", ""));
+        first.nextRequest();
+        client.close();
+        FakePeer.soon(first.ended);
+        assertTrue(first.requests.isEmpty(), "sent again for nobody");
+    }
+
+    @Test
+    void aServerThatClosesAnIdleConnectionCostsNoRequest() throws Exception {
+        start(first);
+        for (int i = 0; i < 5; i++) {
+            assertEquals(200, status(ask(Fixture.request("POST", "/order", i, "", ""))));
+            FakePeer.soon(first.accepted).close();
+            FakePeer.soon(first.ended);
+        }
+        assertEquals(5, first.requests.size());
+    }
+
+    @Test
+    void aServerThatDrainsGetsNothingNew() throws Exception {
+        start(first, second);
+        String call = discovery.nextRequest();
+        assertTrue(call.startsWith("GET /v1/endpoints?watch=1&after=41 "), call);
+        Socket watch = FakePeer.soon(discovery.accepted);
+        assertEquals(200, status(ask(Fixture.request("GET", "/view", 0, "", ""))));
+        Fixture.beginWatch(watch);
+        Fixture.line(watch, Fixture.list(42, false, "Terminating", first));
+        // Its idle connections go back as soon as it has gone: the sign that the node has read the line.
+        Fixture.line(watch, Fixture.list(43, false, "Ready", second));
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        int quiet = 0;
+        for (int i = 1; quiet < 20; i++) {
+            int before = first.requests.size();
+            assertEquals(200, status(ask(Fixture.request("GET", "/view", i, "", ""))));
+            quiet = first.requests.size() == before ? quiet + 1 : 0;
+            assertTrue(System.nanoTime() < until, "the draining server is still sent to");
+        }
+        // Broken, the watch is asked for again with the version that was told last.
+        watch.close();
+        assertTrue(discovery.nextRequest().contains("after=43 "));
+    }
+
+    @Test
+    void badInputIsAnswered4xxAndNeverSentOn() throws Exception {
+        int port = start(Fixture.config(discovery, first));
+        String good = Fixture.request("GET", "/view", 1, "", "");
+        List<Map.Entry<Integer, String>> cases = new ArrayList<>(List.of(
+                Map.entry(404, good.replace("/view", "/nothing")),
+                Map.entry(404, good.replace("/view", "*")),
+                Map.entry(405, good.replace("GET", "POST")),
+                Map.entry(405, good.replace("GET", "DELETE")),
+                Map.entry(400, good.replace("X-Org: acme", "X-Org: nobody")),
+                Map.entry(400, good.replace("X-Txn: 0000000000000001\r\n", "")),
+                Map.entry(400, good.replace("X-Txn: 0000000000000001", "X-Txn: zz")),
+                Map.entry(400, good.replace("X-Remaining-Ms: " + Fixture.REMAINING_MS + "\r\n", "")),
+                Map.entry(400, good.replace("Remaining-Ms: " + Fixture.REMAINING_MS, "Remaining-Ms: -4")),
+                Map.entry(400, good.replace("Remaining-Ms: " + Fixture.REMAINING_MS, "Remaining-Ms: soon")),
+                Map.entry(400, Fixture.request("POST", "/photo", 1, "", "")),
+                Map.entry(400, "COMPLETE NONSENSE\r\n\r\n"),
+                Map.entry(413, Fixture.request("POST", "/order", 1, "", "x".repeat(65_537))),
+                Map.entry(413, Fixture.request("POST", "/order", 1, "Transfer-Encoding: chunked\r\n", "")
+                        .replace("Content-Length: 0\r\n", "") + "10001\r\n" + "x".repeat(0x10001) + "\r\n0\r\n\r\n"),
+                Map.entry(414, good.replace("/view", "/view/" + "x".repeat(9_000))),
+                Map.entry(431, good.replace("\r\n\r\n", "\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n"))));
+        for (Map.Entry<Integer, String> bad : cases) {
+            client = connect(port);
+            String answer = ask(bad.getValue());
+            String shown = bad.getValue().substring(0, Math.min(200, bad.getValue().length()));
+            assertEquals(bad.getKey(), status(answer), shown);
+            assertFalse(answer.substring(answer.indexOf("\r\n\r\n")).isBlank(), "no reason given: " + shown);
+            client.close();
+        }
+        client = connect(port);
+        assertEquals(200, status(ask(good)));
+        assertEquals(1, first.requests.size());
+    }
+
+    @Test
+    void anIdInHandIsNotTakenTwice() throws Exception {
+        first.script(FakePeer.SILENT);
+        int port = start(Fixture.config(discovery, first));
+        try (Socket other = connect(port)) {
+            FakePeer.write(other, Fixture.request("POST", "/order", 1, "", ""));
+            first.nextRequest();
+            client = connect(port);
+            assertEquals(409, status(ask(Fixture.request("POST", "/order", 1, "", ""))));
+        }
+        assertTrue(first.requests.isEmpty());
+    }
+
+    @Test
+    void idleConnectionsMakeRoomUnderTheLimitOfSockets() throws Exception {
+        JsonObject json = Fixture.config(discovery, first);
+        json.getAsJsonObject("limits").addProperty("sockets", Sockets.RESERVE + 8);
+        int port = start(json);
+        List<Socket> all = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            client = connect(port);
+            all.add(client);
+            assertEquals(200, status(ask(Fixture.request("GET", "/view", i, "", ""))));
+        }
+        assertNull(FakePeer.read(all.get(0)), "the oldest idle connection is still open");
+        for (Socket socket : all) {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -0,0 +1,298 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import cedarrelay.Balancer.Result;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Every line of the protocol's table of outcomes, and the care of connections. */
+@Timeout(120)
+class ServerPoolTest {
+    private static final long IDLE_US = 60_000_000;
+
+    private EventLoopGroup group;
+    private EventLoop loop;
+    private FakePeer server;
+
+    /** The report on an attempt. */
+    private record Report(Result result, Answer answer) { }
+
+    private static final class Probe implements ServerPool.Caller {
+        final BlockingQueue<Report> reports = new LinkedBlockingQueue<>();
+        private final int bodySize;
+
+        Probe(int bodySize) {
+            this.bodySize = bodySize;
+        }
+
+        @Override
+        public FullHttpRequest message() {
+            FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
+                    Unpooled.wrappedBuffer(new byte[bodySize]));
+            message.headers().set("Content-Length", bodySize);
+            return message;
+        }
+
+        @Override
+        public void ended(Result result, Answer answer) {
+            reports.add(new Report(result, answer));
+        }
+
+        Report report() throws InterruptedException {
+            return FakePeer.soon(reports);
+        }
+    }
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        server = new FakePeer(FakePeer.answer("200 OK", "", "hello"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        server.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    private ServerPool pool(String address, long idleUs) throws Exception {
+        Sockets sockets = new Sockets(1_024);
+        ServerPool pool = loop.submit(() -> new ServerPool(loop, sockets, 300_000, idleUs)).get();
+        list(pool, address, 0);
+        return pool;
+    }
+
+    private void list(ServerPool pool, String address, long bootMs) throws Exception {
+        ServerList list = ServerList.parse("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s\",\"endpoint\":\""
+                + address + "\",\"state\":\"Ready\",\"boot_ms\":" + bootMs + "}]}");
+        loop.submit(() -> pool.update(list)).get();
+    }
+
+    private ServerPool.Attempt start(ServerPool pool, Probe probe) throws Exception {
+        return loop.submit(() -> pool.start("s", probe)).get();
+    }
+
+    private Report outcome(FakePeer.Script script) throws Exception {
+        server.script(script);
+        Probe probe = new Probe(10);
+        start(pool(server.address(), IDLE_US), probe);
+        Report report = probe.report();
+        loop.submit(() -> { }).get();
+        assertTrue(probe.reports.isEmpty(), "reported twice");
+        return report;
+    }
+
+    @Test
+    void aWhole200IsServedUnchanged() throws Exception {
+        Report report = outcome(FakePeer.answer("200 OK", "Content-Type: text/x\r\n", "h\u00e9llo"));
+        assertEquals(Result.OK, report.result());
+        assertArrayEquals("h\u00e9llo".getBytes(StandardCharsets.ISO_8859_1), report.answer().body());
+        assertEquals("text/x", report.answer().contentType());
+        assertEquals(Result.OK, outcome(FakePeer.raw("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                + "2\r\nab\r\n0\r\n\r\n")).result());
+        assertEquals(Result.OK, outcome(FakePeer.raw("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n"
+                + "Content-Length: 0\r\n\r\n")).result());
+    }
+
+    @Test
+    void errorsMayHaveRunAndTurnedAwayNeverHas() throws Exception {
+        assertEquals(Result.ERROR, outcome(FakePeer.answer("500 No", "", "")).result());
+        assertEquals(Result.ERROR, outcome(FakePeer.answer("503 No", "", "")).result());
+        assertEquals(Result.ERROR, outcome(FakePeer.answer("500 No", "X-Turned-Away: 1\r\n", "")).result());
+        assertEquals(Result.FULL, outcome(FakePeer.answer("503 No", "X-Turned-Away: 1\r\n", "")).result());
+        assertEquals(Result.FULL, outcome(FakePeer.answer("504 No", "X-Turned-Away: 1\r\n", "")).result());
+    }
+
+    @Test
+    void whatBreaksAfterTheLastByteIsAReset() throws Exception {
+        assertEquals(Result.RESET, outcome(FakePeer.RESET).result());
+        assertEquals(Result.RESET, outcome(FakePeer.CLOSE).result());
+        assertEquals(Result.RESET, outcome((socket, request) -> {
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+            socket.close();
+        }).result());
+        assertEquals(Result.RESET, outcome((socket, request) -> {
+            // Without a length the end of the connection is all there is, and says nothing.
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\n\r\nmaybe half");
+            socket.close();
+        }).result());
+        assertEquals(Result.RESET, outcome(FakePeer.raw("HELLO THERE\r\n\r\n")).result());
+    }
+
+    @Test
+    void noConnectionIsNeverRan() throws Exception {
+        int port = server.port();
+        server.close();
+        Probe probe = new Probe(10);
+        start(pool("127.0.0.1:" + port, IDLE_US), probe);
+        assertEquals(Result.CONNECT_FAILED, probe.report().result());
+        server = new FakePeer(FakePeer.SILENT);
+    }
+
+    @Test
+    void aConnectionThatNeverComesUpIsGivenUpAtTheDialLimit() throws Exception {
+        try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            // Linux drops what comes when the queue of connections not accepted is full.
+            List<Socket> fill = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                Socket socket = new Socket();
+                fill.add(socket);
+                try {
+                    socket.connect(full.getLocalSocketAddress(), 200);
+                } catch (java.net.SocketTimeoutException e) {
+                    break;
+                }
+            }
+            Probe probe = new Probe(10);
+            start(pool("127.0.0.1:" + full.getLocalPort(), IDLE_US), probe);
+            assertEquals(Result.CONNECT_FAILED, probe.report().result());
+            for (Socket socket : fill) {
+                socket.close();
+            }
+        }
+    }
+
+    @Test
+    void whatBreaksBeforeTheLastByteIsHandedOverNeverRan() throws Exception {
+        try (ServerSocket deaf = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+            Probe probe = new Probe(64 << 20);
+            start(pool("127.0.0.1:" + deaf.getLocalPort(), IDLE_US), probe);
+            Socket accepted = deaf.accept();
+            accepted.getInputStream().read();
+            accepted.setSoLinger(true, 0);
+            accepted.close();
+            assertEquals(Result.CONNECT_FAILED, probe.report().result());
+        }
+    }
+
+    @Test
+    void anAttemptGivenUpClosesItsConnection() throws Exception {
+        server.script(FakePeer.SILENT);
+        Probe probe = new Probe(10);
+        ServerPool.Attempt attempt = start(pool(server.address(), IDLE_US), probe);
+        server.nextRequest();
+        loop.submit(() -> attempt.giveUp(Result.TIMEOUT)).get();
+        assertEquals(Result.TIMEOUT, probe.report().result());
+        FakePeer.soon(server.ended);
+    }
+
+    @Test
+    void anAttemptGivenUpBeforeItsConnectionIsUpIsNeverSent() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe probe = new Probe(10);
+        loop.submit(() -> pool.start("s", probe).giveUp(Result.CANCELLED)).get();
+        assertEquals(Result.MOOT, probe.report().result());
+        // Its connection, once up, carries the next attempt: the only request that the server sees.
+        FakePeer.soon(server.accepted);
+        Probe next = new Probe(11);
+        start(pool, next);
+        assertEquals(Result.OK, next.report().result());
+        assertEquals("11", FakePeer.header(server.nextRequest(), "Content-Length"));
+        assertTrue(server.requests.isEmpty());
+    }
+
+    @Test
+    void connectionsAreReusedMostRecentFirst() throws Exception {
+        BlockingQueue<Socket> used = new LinkedBlockingQueue<>();
+        server.script((socket, request) -> used.add(socket));
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe first = new Probe(1);
+        Probe second = new Probe(2);
+        start(pool, first);
+        start(pool, second);
+        Socket a = FakePeer.soon(used);
+        Socket b = FakePeer.soon(used);
+        FakePeer.write(a, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        FakePeer.soon(first.reports.isEmpty() && second.reports.isEmpty() ? either(first, second)
+                : first.reports.isEmpty() ? second.reports : first.reports);
+        FakePeer.write(b, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+        FakePeer.soon(either(first, second));
+        Probe third = new Probe(3);
+        start(pool, third);
+        assertSame(b, FakePeer.soon(used));
+    }
+
+    private static BlockingQueue<Report> either(Probe a, Probe b) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        while (a.reports.isEmpty() && b.reports.isEmpty() && System.nanoTime() < until) {
+            Report report = a.reports.poll(1, TimeUnit.MILLISECONDS);
+            if (report != null) {
+                a.reports.add(report);
+            }
+        }
+        return a.reports.isEmpty() ? b.reports : a.reports;
+    }
+
+    @Test
+    void aConnectionThatTheServerClosedOrSpokeOnIsNotReused() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        for (String unasked : Arrays.asList(null, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "HTT")) {
+            Probe first = new Probe(10);
+            start(pool, first);
+            assertEquals(Result.OK, first.report().result());
+            Socket idle = FakePeer.soon(server.accepted);
+            if (unasked == null) {
+                idle.close();
+            } else {
+                FakePeer.write(idle, unasked);
+            }
+            assertSame(idle, FakePeer.soon(server.ended));
+            Probe second = new Probe(10);
+            start(pool, second);
+            assertEquals("hello", new String(second.report().answer().body(), StandardCharsets.UTF_8));
+            FakePeer.soon(server.accepted).close();
+            FakePeer.soon(server.ended);
+        }
+    }
+
+    @Test
+    void anIdleConnectionIsDroppedBeforeTheServerWould() throws Exception {
+        Probe probe = new Probe(10);
+        start(pool(server.address(), 100_000), probe);
+        assertEquals(Result.OK, probe.report().result());
+        // The fake never closes: the end of the connection is the pool's doing.
+        FakePeer.soon(server.ended);
+    }
+
+    @Test
+    void aServerThatMovesTakesItsAttemptsAlong() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe first = new Probe(10);
+        start(pool, first);
+        assertEquals(Result.OK, first.report().result());
+        try (FakePeer moved = new FakePeer(FakePeer.answer("200 OK", "", "moved"))) {
+            list(pool, moved.address(), 0);
+            FakePeer.soon(server.ended);
+            Probe second = new Probe(10);
+            start(pool, second);
+            assertEquals("moved", new String(second.report().answer().body(), StandardCharsets.UTF_8));
+        }
+    }
+}
