--- a/src/test/java/cedarrelay/node/DiscoveryTest.java
+++ b/src/test/java/cedarrelay/node/DiscoveryTest.java
@@ -3,7 +3,9 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -27,6 +29,7 @@
     private final BlockingQueue<String> failures = new LinkedBlockingQueue<>();
     private EventLoopGroup group;
     private FakePeer peer;
+    private int port;
 
     @Override
     public void onList(ServerList list) {
@@ -42,6 +45,7 @@
     void open() throws Exception {
         group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         peer = new FakePeer(FakePeer.SILENT);
+        port = peer.port();
     }
 
     @AfterEach
@@ -52,7 +56,7 @@
 
     private Discovery subscribe(long silentMs) throws Exception {
         EventLoop loop = group.next();
-        Discovery discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", peer.port()), 41, silentMs,
+        Discovery discovery = new Discovery(loop, new InetSocketAddress("127.0.0.1", port), 41, silentMs,
                 this);
         loop.submit(discovery::subscribe).get();
         return discovery;
@@ -85,14 +89,14 @@
     }
 
     @ParameterizedTest
-    @ValueSource(strings = {"{\"rev\":42,", "[]", "{\"rev\":42,\"all\":false}", "{\"rev\":42,\"all\":false,\"targets\":"
-            + "[{\"uid\":\"s\",\"endpoint\":\"example:80\",\"state\":\"Ready\"}]}", "{\"rev\":42,\"all\":false,"
-            + "\"targets\":[{\"uid\":\"s\",\"endpoint\":\"127.0.0.1:80\",\"state\":\"Odd\"}]}",
-        "{\"rev\":\"x\",\"all\":false,\"targets\":[]}", "{\"rev\":1,\"all\":true,\"targets\":[null]}"})
+    @ValueSource(strings = {"{'rev':42,", "[]", "{'rev':42,'all':false}",
+        "{'rev':42,'all':false,'targets':[{'uid':'s','endpoint':'example:80','state':'Ready'}]}",
+        "{'rev':42,'all':false,'targets':[{'uid':'s','endpoint':'127.0.0.1:80','state':'Odd'}]}",
+        "{'rev':'x','all':false,'targets':[]}", "{'rev':1,'all':true,'targets':[null]}"})
     void aMalformedMessageCostsTheWatchAndIsNotTaken(String message) throws Exception {
         peer.script((socket, request) -> {
             Fixture.beginWatch(socket);
-            Fixture.line(socket, message);
+            Fixture.line(socket, message.replace('\'', '"'));
         });
         subscribe(20_000);
         failsOnce();
@@ -125,10 +129,11 @@
 
     @Test
     void anAddressWhereNobodyListensIsTold() throws Exception {
-        peer.close();
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = unused.getLocalPort();
+        }
         subscribe(20_000);
         FakePeer.soon(failures);
-        peer = new FakePeer(FakePeer.SILENT);
     }
 
     @Test
--- a/src/test/java/cedarrelay/node/FakePeer.java
+++ b/src/test/java/cedarrelay/node/FakePeer.java
@@ -53,9 +53,8 @@
 
     /** An answer with these headers and this body. */
     static Script answer(String status, String headers, String body) {
-        String text = "HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n"
-                + body;
-        return raw(text);
+        return raw("HTTP/1.1 " + status + "\r\n" + headers + "Content-Length: " + body.length()
+                + "\r\n\r\n" + body);
     }
 
     static Script raw(String text) {
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -58,7 +58,8 @@
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
                 before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -cp \"$JARS\" "
                 + "cedarrelay.node.Main");
-        builder.environment().put("JAVA", Path.of(System.getProperty("java.home"), "bin", "java").toString());
+        Path java = Path.of(System.getProperty("java.home"), "bin", "java");
+        builder.environment().put("JAVA", java.toString());
         builder.environment().put("JARS", path);
         builder.environment().remove("LB_CONFIG");
         builder.environment().remove("LB_LISTEN");
@@ -119,7 +120,7 @@
         String answer = FakePeer.read(client);
         assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("done"), answer);
         assertEquals("close", FakePeer.header(answer, "Connection"));
-        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there after its last answer");
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there after it");
         assertEquals(0, process.exitValue());
     }
 
@@ -140,8 +141,8 @@
         Socket asking = many.get(many.size() - 1);
         FakePeer.write(asking, Fixture.request("GET", "/view", 1, "", ""));
         String answer = FakePeer.read(asking);
-        assertTrue(answer != null && answer.startsWith("HTTP/1.1 "), () -> "no answer while descriptors are short: "
-                + said());
+        assertTrue(answer != null && answer.startsWith("HTTP/1.1 "),
+                () -> "no answer while descriptors are short: " + said());
         for (Socket socket : many) {
             socket.close();
         }
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -229,7 +229,8 @@
                 Map.entry(400, "COMPLETE NONSENSE\r\n\r\n"),
                 Map.entry(413, Fixture.request("POST", "/order", 1, "", "x".repeat(65_537))),
                 Map.entry(413, Fixture.request("POST", "/order", 1, "Transfer-Encoding: chunked\r\n", "")
-                        .replace("Content-Length: 0\r\n", "") + "10001\r\n" + "x".repeat(0x10001) + "\r\n0\r\n\r\n"),
+                        .replace("Content-Length: 0\r\n", "") + "10001\r\n" + "x".repeat(0x10001)
+                        + "\r\n0\r\n\r\n"),
                 Map.entry(414, good.replace("/view", "/view/" + "x".repeat(9_000))),
                 Map.entry(431, good.replace("\r\n\r\n", "\r\nX-Long: " + "x".repeat(20_000) + "\r\n\r\n"))));
         for (Map.Entry<Integer, String> bad : cases) {
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -90,8 +90,9 @@
     }
 
     private void list(ServerPool pool, String address, long bootMs) throws Exception {
-        ServerList list = ServerList.parse("{\"rev\":1,\"all\":true,\"targets\":[{\"uid\":\"s\",\"endpoint\":\""
-                + address + "\",\"state\":\"Ready\",\"boot_ms\":" + bootMs + "}]}");
+        ServerList list = ServerList.parse("{\"rev\":1,\"all\":true,"
+                + "\"targets\":[{\"uid\":\"s\",\"endpoint\":\"" + address
+                + "\",\"state\":\"Ready\",\"boot_ms\":" + bootMs + "}]}");
         loop.submit(() -> pool.update(list)).get();
     }
 
@@ -148,12 +149,13 @@
 
     @Test
     void noConnectionIsNeverRan() throws Exception {
-        int port = server.port();
-        server.close();
+        int port;
+        try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            port = unused.getLocalPort();
+        }
         Probe probe = new Probe(10);
         start(pool("127.0.0.1:" + port, IDLE_US), probe);
         assertEquals(Result.CONNECT_FAILED, probe.report().result());
-        server = new FakePeer(FakePeer.SILENT);
     }
 
     @Test
@@ -253,7 +255,8 @@
     @Test
     void aConnectionThatTheServerClosedOrSpokeOnIsNotReused() throws Exception {
         ServerPool pool = pool(server.address(), IDLE_US);
-        for (String unasked : Arrays.asList(null, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong", "HTT")) {
+        String wrong = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+        for (String unasked : Arrays.asList(null, wrong, "HTT")) {
             Probe first = new Probe(10);
             start(pool, first);
             assertEquals(Result.OK, first.report().result());
