--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -17,7 +17,7 @@
     private static final long STOP_WITHIN_MS = 3_650;
 
     /** Enough for all classes to be loaded; more make the first answers quicker but the node come later. */
-    private static final int REHEARSED = 30;
+    private static final int REHEARSED = 100;
     private static final String EXAMPLE = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":1024},
              "known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":"127.0.0.1:1","az":"a",
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -39,9 +39,10 @@
 final class Node implements Balancer.Actions, Discovery.Listener {
     private static final Logger LOG = System.getLogger(Node.class.getName());
 
-    /** The module's deadline lies so far before the client's: the answer's way, timers, whole
-     * milliseconds. */
-    private static final long ANSWER_MARGIN_US = 4_000;
+    /** The module's deadline lies so far before the client's, or this part of the time left if that is
+     * less: the answer's way, timers, and a processor that is busy just after a start. */
+    private static final long ANSWER_MARGIN_US = 25_000;
+    private static final int ANSWER_MARGIN_PART = 8;
     private static final long PROBE_US = 250_000;
     /** A pushed list costs nothing to ask for. */
     private static final long WATCH_AGAIN_MS = 500;
@@ -274,7 +275,9 @@
             return;
         }
         long arrivedUs = us(exchange.arrivedNs());
-        Held taken = new Held(exchange, arrivedUs + Math.max(0, request.remainingUs() - ANSWER_MARGIN_US));
+        long leftUs = request.remainingUs();
+        Held taken = new Held(exchange,
+                arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART));
         held.put(request.id(), taken);
         taken.guard = at(arrivedUs + request.remainingUs(), () -> expire(taken));
         exchange.whenGone(() -> leave(taken));
