Take for an answer only what can be read in one way, and read before each send

Checked: a trace of one node's sockets. Of the spoilt kinds Netty's response decoder turned away all (status that is no number, lengths negative or given twice, chunk sizes, heads too long) but one: a head with a line without a colon. Ruled out: answers naming their request (nothing in them is documented to), and second copies in the same read, which were already dropped. Also from reading the code: with both framings the decoder drops the length; a declared length over the limit was read up to it; 1xx answers had no limit; and a second answer that the system had not yet shown when its connection was handed to the next attempt became that attempt's answer. At fault: ServerPool.Connection.read/whole and the HttpClientCodec in dial; send without a look at the socket. Now: AnswerReader reads an answer, with a strict decoder and limits; a connection is read before it is used again.

--- /dev/null
+++ b/src/main/java/cedarrelay/node/AnswerReader.java
@@ -0,0 +1,146 @@
+package cedarrelay.node;
+
+import java.util.Arrays;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.AsciiString;
+
+/** Puts one answer of a server together, within limits, and takes nothing for an answer that may not be one. */
+final class AnswerReader {
+    static final int MAX_BODY = 64 * 1024;
+    private static final int MAX_LINE = 4_096;
+    private static final int MAX_HEADERS = 16_384;
+    /** Informational answers ahead of the final one; servers send one or two. */
+    private static final int MOST_INFORMATIONAL = 16;
+    private static final byte[] NONE = {};
+
+    /** What has come can't be the answer to anything. */
+    static final class Spoilt extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Spoilt() {
+            super("spoilt answer", null, false, false);
+        }
+    }
+
+    /** Netty's decoder without its leniency: a line read in two ways may be no header at all. */
+    static final class Decoder extends HttpResponseDecoder {
+        Decoder() {
+            super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEADERS));
+        }
+
+        @Override
+        protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            // Netty ends a response's name at white space too, and then does without a colon.
+            if (line[start + length] != ':') {
+                throw new IllegalArgumentException("no colon behind a header's name");
+            }
+            return super.splitHeaderName(line, start, length);
+        }
+
+        @Override
+        protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+            throw new IllegalArgumentException("two lengths");
+        }
+    }
+
+    private HttpResponse head;
+    private byte[] body = NONE;
+    private int size;
+    private int informational;
+    private boolean whole;
+
+    /** Whether all of the final answer has come. */
+    boolean isWhole() {
+        return whole;
+    }
+
+    /** Takes in the next part; whether the answer is now whole. */
+    boolean read(HttpObject part) throws Spoilt {
+        if (whole || part.decoderResult().isFailure()) {
+            throw new Spoilt();
+        }
+        if (part instanceof HttpResponse response) {
+            begin(response);
+        }
+        if (part instanceof HttpContent content) {
+            add(content.content());
+            if (part instanceof LastHttpContent) {
+                end();
+            }
+        }
+        return whole;
+    }
+
+    private void begin(HttpResponse response) throws Spoilt {
+        head = response;
+        long length = HttpUtil.getContentLength(response, 0L);
+        // No use reading what can't be passed on; and nobody has asked for another protocol.
+        if (length > MAX_BODY || response.protocolVersion().majorVersion() != 1
+                || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
+            throw new Spoilt();
+        }
+        body = length > 0 ? new byte[(int) length] : NONE;
+    }
+
+    private void add(ByteBuf content) throws Spoilt {
+        int more = content.readableBytes();
+        if (size + more > MAX_BODY) {
+            throw new Spoilt();
+        }
+        if (size + more > body.length) {
+            body = Arrays.copyOf(body, Math.min(MAX_BODY, Math.max(size + more, 2 * body.length)));
+        }
+        content.readBytes(body, size, more);
+        size += more;
+    }
+
+    private void end() throws Spoilt {
+        if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+            if (++informational > MOST_INFORMATIONAL) {
+                throw new Spoilt();
+            }
+            body = NONE;
+            size = 0;
+            return;
+        }
+        if (head.status().code() == 200 && !isFramed()) {
+            // It ended with its connection: a process that died half way looks the same.
+            throw new Spoilt();
+        }
+        whole = true;
+    }
+
+    private boolean isFramed() {
+        return HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
+    }
+
+    int status() {
+        return head.status().code();
+    }
+
+    String header(CharSequence name) {
+        return head.headers().get(name);
+    }
+
+    /** Whether the server keeps the connection for the next request. */
+    boolean isKeepAlive() {
+        return HttpUtil.isKeepAlive(head) && isFramed();
+    }
+
+    Answer answer() {
+        return new Answer(status(), header(HttpHeaderNames.CONTENT_TYPE),
+                size == body.length ? body : Arrays.copyOf(body, size));
+    }
+}
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
@@ -22,16 +21,12 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpStatusClass;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.ScheduledFuture;
 
@@ -40,10 +35,7 @@
  * told, once, and reports how that ended; nothing here sends again.
  */
 final class ServerPool {
-    static final int MAX_BODY = 64 * 1024;
     private static final String TURNED_AWAY = "X-Turned-Away";
-    private static final int MAX_LINE = 4_096;
-    private static final int MAX_HEADERS = 16_384;
     private static final long SWEEP_MS = 500;
 
     /** Who wants an attempt: what to send, and where to report. */
@@ -187,8 +179,8 @@
 
     private Connection takeIdle(Server server) {
         Connection connection = server.idle.poll();
-        while (connection != null && (!connection.channel.isActive()
-                || System.nanoTime() - connection.idleSince > keepIdleNs)) {
+        while (connection != null && (System.nanoTime() - connection.idleSince > keepIdleNs
+                || !connection.isQuiet())) {
             connection.channel.close();
             connection = server.idle.poll();
         }
@@ -218,7 +210,7 @@
             @Override
             protected void initChannel(SocketChannel fresh) {
                 fresh.pipeline().addLast(connection.new IdleGuard(),
-                        new HttpClientCodec(MAX_LINE, MAX_HEADERS, 8_192), connection);
+                        new AnswerReader.Decoder(), new HttpRequestEncoder(), connection);
             }
         }).connect(server.address).addListener(done -> {
             if (!done.isSuccess()) {
@@ -279,9 +271,7 @@
         private Attempt attempt;
         private boolean written;
         private long idleSince;
-        private HttpResponse head;
-        private byte[] body = new byte[0];
-        private Result result;
+        private AnswerReader reader;
         private boolean reusable;
 
         Connection(Server server, int generation, Channel channel) {
@@ -296,7 +286,8 @@
                 channel.close();
                 return;
             }
-            if (!channel.isActive()) {
+            if (!isQuiet()) {
+                channel.close();
                 return;
             }
             Attempt next = server.waiting.poll();
@@ -310,13 +301,22 @@
             }
         }
 
+        /**
+         * Whether nothing has come that was not asked for, nor the end. What the system already holds is
+         * read first: sent right behind an answer, it would else be taken for the next one.
+         */
+        boolean isQuiet() {
+            if (channel.isActive()) {
+                ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+            }
+            return channel.isActive();
+        }
+
         void send(Attempt next) {
             attempt = next;
             next.connection = this;
             written = false;
-            head = null;
-            body = new byte[0];
-            result = null;
+            reader = new AnswerReader();
             // The future tells whether the kernel has taken the last byte; Netty never writes it twice.
             channel.writeAndFlush(next.caller.message()).addListener(done -> {
                 if (attempt != next) {
@@ -342,76 +342,46 @@
         }
 
         private void read(Object message) {
-            if (attempt == null || result != null) {
-                // Nothing was asked for, or a second answer came with the first.
+            if (attempt == null || reader.isWhole()) {
+                // Nothing was asked for, or more came than the answer.
                 reusable = false;
                 drop();
                 return;
             }
-            if (message instanceof HttpResponse response) {
-                if (response.decoderResult().isFailure()) {
-                    broken();
-                    return;
-                }
-                head = response;
-            }
-            if (message instanceof HttpContent content) {
-                if (content.decoderResult().isFailure()
-                        || body.length + content.content().readableBytes() > MAX_BODY) {
-                    broken();
-                    return;
-                }
-                int size = content.content().readableBytes();
-                if (size > 0) {
-                    byte[] longer = Arrays.copyOf(body, body.length + size);
-                    content.content().readBytes(longer, body.length, size);
-                    body = longer;
-                }
-                if (message instanceof LastHttpContent) {
-                    whole();
+            try {
+                if (message instanceof HttpObject part && reader.read(part)) {
+                    reusable = written && reader.isKeepAlive();
                 }
-            }
-        }
-
-        private void whole() {
-            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-                head = null;
-                return;
-            }
-            int status = head.status().code();
-            boolean framed = HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
-            boolean away = (status == 503 || status == 504) && "1".equals(head.headers().get(TURNED_AWAY));
-            if (status == 200 && !framed) {
-                // It ended with its connection: a process that died half way looks the same.
+            } catch (AnswerReader.Spoilt e) {
                 broken();
-                return;
             }
-            result = status == 200 ? Result.OK : away ? Result.FULL : Result.ERROR;
-            reusable = HttpUtil.isKeepAlive(head) && framed && written;
         }
 
         /** The report waits for the end of what came at once, so that its connection can be used again. */
         @Override
         public void channelReadComplete(ChannelHandlerContext ctx) {
-            if (result != null) {
+            if (isAnswered()) {
                 finish();
             }
         }
 
+        private boolean isAnswered() {
+            return attempt != null && reader.isWhole();
+        }
+
         private void finish() {
             Attempt done = attempt;
-            Answer answer = new Answer(head.status().code(),
-                    head.headers().get(HttpHeaderNames.CONTENT_TYPE), body);
-            Result as = result;
+            Answer answer = reader.answer();
+            boolean away = (answer.status() == 503 || answer.status() == 504)
+                    && "1".equals(reader.header(TURNED_AWAY));
             attempt = null;
-            result = null;
-            head = null;
+            reader = null;
             if (reusable) {
                 park();
             } else {
                 channel.close();
             }
-            done.end(as, answer);
+            done.end(answer.status() == 200 ? Result.OK : away ? Result.FULL : Result.ERROR, answer);
         }
 
         /** The connection or what came on it is broken: only a request not handed over whole never ran. */
@@ -433,17 +403,16 @@
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (result != null) {
-                reusable = false;
-                finish();
-            } else {
-                broken();
-            }
+            ended();
         }
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (result != null) {
+            ended();
+        }
+
+        private void ended() {
+            if (isAnswered()) {
                 reusable = false;
                 finish();
             } else {
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -30,6 +30,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Every line of the protocol's table of outcomes, and the care of connections. */
 @Timeout(120)
@@ -147,6 +149,47 @@
         assertEquals(Result.RESET, outcome(FakePeer.raw("HELLO THERE\r\n\r\n")).result());
     }
 
+    /** The connection stays open behind each of these: nothing but the reading may end the attempt. */
+    @ParameterizedTest
+    @ValueSource(strings = {"HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nno\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nContent-Length: 3221225472\r\n\r\nno",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nno\r\n0\r\n\r\n",
+        "HTTP/1.1 OK 200\r\nContent-Length: 2\r\n\r\nno", "HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nno",
+        "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n"})
+    void whatCantBeReadIsNoAnswer(String spoilt) throws Exception {
+        assertEquals(Result.RESET, outcome(FakePeer.raw(spoilt)).result());
+        FakePeer.soon(server.ended);
+    }
+
+    @Test
+    void headsWithoutEndEndTheAttempt() throws Exception {
+        assertEquals(Result.RESET, outcome(FakePeer.raw("HTTP/1.1 200 OK\r\n"
+                + "X-Pad: pppppppppppppppp\r\n".repeat(1_000))).result());
+        assertEquals(Result.RESET, outcome(FakePeer.raw("HTTP/1.1 103 Early Hints\r\n\r\n".repeat(100)
+                + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")).result());
+    }
+
+    @Test
+    void aSecondAnswerIsNotTakenForTheNextRequests() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe first = new Probe(10);
+        start(pool, first);
+        assertEquals(Result.OK, first.report().result());
+        Socket idle = FakePeer.soon(server.accepted);
+        Probe second = new Probe(10);
+        loop.submit(() -> {
+            // The loop is busy here: what comes is in the system's buffer and read only afterwards.
+            FakePeer.write(idle, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong");
+            return pool.start("s", second);
+        }).get();
+        assertEquals("hello", new String(second.report().answer().body(), StandardCharsets.UTF_8));
+    }
+
     @Test
     void noConnectionIsNeverRan() throws Exception {
         int port;
