Move the watch at SIGHUP instead of ending

At fault: nothing handled the signal, so the JVM ran its shutdown hook (Main). Now: Hangup handles it first of all; the loop reads the file again, whose discovery then counts before LB_DISCOVERY, closes the watch and asks the new address at once, from nothing: a version of one address says nothing at another. The module is not told of a failure, since none happened. A file that can't be used leaves all as it was, with one line. The node is made on the loop, so that the signal finds it whole.

--- a/src/main/java/cedarrelay/node/Config.java
+++ b/src/main/java/cedarrelay/node/Config.java
@@ -5,6 +5,7 @@
 import java.nio.file.Files;
 import java.nio.file.InvalidPathException;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -27,6 +28,7 @@
         long connIdleUs, Settings settings, ServerList known) {
 
     private static final int DEFAULT_SOCKETS = 1_024;
+    private static final String DISCOVERY = "LB_DISCOVERY";
     private static final String DEFAULT_IDLE_US = "15000000";
 
     /** Throws IllegalArgumentException with one line for the operator on what is missing or wrong. */
@@ -44,6 +46,13 @@
         return parse(text, environment);
     }
 
+    /** As at the start, but that the file has been replaced since and so comes before the environment. */
+    static Config reread(Map<String, String> environment) {
+        Map<String, String> rest = new HashMap<>(environment);
+        rest.remove(DISCOVERY);
+        return read(rest);
+    }
+
     static Config parse(String text, Map<String, String> environment) {
         JsonObject json;
         try {
@@ -56,7 +65,7 @@
         ServerList known = json.has("known") ? ServerList.of(json.get("known"))
                 : new ServerList(0, true, List.of());
         return new Config(ServerList.address(text(environment, "LB_LISTEN", json, "listen")),
-                ServerList.address(text(environment, "LB_DISCOVERY", json, "discovery")), seed(json),
+                ServerList.address(text(environment, DISCOVERY, json, "discovery")), seed(json),
                 sockets(json), whole(values.getOrDefault("limits.connIdleUs", DEFAULT_IDLE_US)), settings,
                 known);
     }
--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -47,7 +47,7 @@
     }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
+    private InetSocketAddress address;
     private final Listener listener;
     private final long silentMs;
     private long revision;
@@ -70,6 +70,15 @@
         watch.open();
     }
 
+    /** Asks there from now on, at once. The versions of one address say nothing at another. */
+    void moveTo(InetSocketAddress to) {
+        if (!to.equals(address)) {
+            address = to;
+            revision = 0;
+            subscribe();
+        }
+    }
+
     void close() {
         if (watch != null) {
             watch.close();
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -1,5 +1,7 @@
 package cedarrelay.node;
 
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -11,6 +13,8 @@
 
 /** Starts one node, and ends it in order when told to. */
 public final class Main {
+    private static final Logger LOG = System.getLogger(Main.class.getName());
+
     /** A bad configuration. */
     private static final int BAD_CONFIG = 2;
     /** Past the longest wait for an answer: then there is nothing left worth waiting for. */
@@ -29,7 +33,8 @@
     private Main() { }
 
     /**
-     * Reads the configuration from the environment and serves until SIGTERM. With the argument
+     * Reads the configuration from the environment and serves until SIGTERM; SIGHUP has it read the file
+     * again. With the argument
      * {@code rehearse} it goes through its work once on its own, for the archive of classes that the build
      * makes, and ends.
      */
@@ -40,23 +45,42 @@
         }
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         EventLoop loop = group.next();
+        Map<String, String> environment = System.getenv();
+        Node[] node = new Node[1];
+        // First of all: unhandled, the signal ends the program. The loop reads the file after the start.
+        Hangup.handle(() -> loop.execute(() -> reload(node[0], environment)));
+        loop.execute(() -> node[0] = start(environment, group, loop));
+    }
+
+    private static Node start(Map<String, String> environment, EventLoopGroup group, EventLoop loop) {
         Node node;
         try {
-            node = new Node(Config.read(System.getenv()), loop);
+            node = new Node(Config.read(environment), loop);
         } catch (IllegalArgumentException e) {
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
-            return;
+            return null;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
-        loop.execute(() -> node.start(group, REHEARSED, () -> { }).addListener(done -> {
+        node.start(group, REHEARSED, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
                 exit("can't listen: " + done.cause().getMessage(), 1);
             }
-        }));
+        });
+        return node;
+    }
+
+    /** What can't be used changes nothing: a node that serves is worth more than a configuration. */
+    private static void reload(Node node, Map<String, String> environment) {
+        try {
+            node.reload(Config.reread(environment));
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, "the configuration stays as it was: {0}", e.getMessage());
+        }
     }
 
     private static void rehearse() {
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        Hangup.handle(() -> { });
         Node node = new Node(Config.parse(EXAMPLE, Map.of()), group.next());
         group.next().execute(() -> node.start(group, REHEARSED, group::shutdownGracefully));
     }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -185,6 +185,11 @@
         return binding;
     }
 
+    /** Takes up what may change while it runs: where discovery is. */
+    void reload(Config fresh) {
+        discovery.moveTo(fresh.discovery());
+    }
+
     /** Begins as a rehearsal's node: it has a list, no address of its own, and asks for no other list. */
     void rehearse() {
         rehearsing = true;
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -47,10 +47,12 @@
         server.close();
     }
 
-    private void start(JsonObject config, String before) throws Exception {
+    private Path start(JsonObject config, String before) throws Exception {
         config.addProperty("listen", "127.0.0.1:" + port);
-        run(Fixture.write(config).toString(), before);
+        Path file = Fixture.write(config);
+        run(file.toString(), before);
         await("/ready");
+        return file;
     }
 
     private void run(String config, String before) throws IOException {
@@ -124,6 +126,48 @@
         assertEquals(0, process.exitValue());
     }
 
+    @Test
+    void sighupMovesTheWatchAndAFileThatIsBadChangesNothing() throws Exception {
+        try (FakePeer next = new FakePeer(FakePeer.SILENT)) {
+            JsonObject config = Fixture.config(discovery, server);
+            Path file = start(config, "export LB_DISCOVERY=" + discovery.address() + " && ");
+            assertTrue(discovery.nextRequest().contains("&after=41 "));
+            Files.writeString(file, "{");
+            hangUp();
+            awaitLine("stays as it was");
+            config.addProperty("discovery", next.address());
+            Files.writeString(file, config.toString());
+            hangUp();
+            assertTrue(next.nextRequest().contains("&after=0 "), "a version of another address is named");
+            FakePeer.soon(discovery.ended);
+            config.addProperty("discovery", discovery.address());
+            Files.writeString(file, config.toString());
+            hangUp();
+            discovery.nextRequest();
+            FakePeer.soon(next.ended);
+            try (Socket client = connect()) {
+                FakePeer.write(client, Fixture.request("GET", "/view", 1, "", ""));
+                assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"));
+            }
+        }
+    }
+
+    private void hangUp() throws Exception {
+        assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
+    }
+
+    private void awaitLine(String part) throws IOException {
+        StringBuilder line = new StringBuilder();
+        while (line.indexOf(part) < 0) {
+            int next = process.getInputStream().read();
+            assertTrue(next >= 0, "the program has ended");
+            line.append((char) next);
+            if (next == '\n') {
+                line.setLength(0);
+            }
+        }
+    }
+
     @Test
     void itSurvivesRunningOutOfDescriptors() throws Exception {
         // The configuration promises more than the system gives.
