Ask a new address of discovery for the whole list

Seen: at the first move the watch with after=0 was answered {"all":false,"rev":0,"targets":[]}: versions may start at 0, so that 0 names one; an address whose own count starts anew would have kept its base list back. Checked: without a version the same address sends the whole list, then the changes (traced at both moves).

--- a/src/main/java/cedarrelay/node/Discovery.java
+++ b/src/main/java/cedarrelay/node/Discovery.java
@@ -32,6 +32,8 @@
 final class Discovery {
     /** A line comes every 2 s, the first one within the call's own time limit: this is well past both. */
     static final long SILENT_MS = 6_000;
+    /** No version is known, so that the whole list is wanted. */
+    private static final long NONE = -1;
     private static final int CONNECT_MS = 2_000;
     /** A line for each of some thousand servers; past it a message is malformed. */
     private static final int MAX_MESSAGE = 1 << 20;
@@ -74,7 +76,7 @@
     void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
-            revision = 0;
+            revision = NONE;
             subscribe();
         }
     }
@@ -123,7 +125,7 @@
 
         private void ask() {
             DefaultFullHttpRequest call = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
-                    "/v1/endpoints?watch=1&after=" + revision);
+                    "/v1/endpoints?watch=1" + (revision == NONE ? "" : "&after=" + revision));
             call.headers().set(HttpHeaderNames.HOST,
                     address.getAddress().getHostAddress() + ":" + address.getPort());
             channel.writeAndFlush(call);
