Take an unmarked request for a first try where clients mark their repeats

Checked: the module's state once a second through the hole. Nothing waits, three requests are in flight, limits of 15 and more are far, health over 0.84, lists come; so requests are given up as they arrive. Ruled out: budgets of cold servers. At fault: ServiceQBalancer.elapsedBefore. It tells how long a client has asked from its time left, against the usual one; when that moves, first tries count as late and as worth nothing. The settings say that clients mark their repeats (callers.marksRetry), which nobody read.

--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -210,6 +210,8 @@
         public boolean cancel;
         /** Whether servers may be probed. */
         public boolean probes;
+        /** Whether clients mark their repeats, so that what is not marked is a first try. */
+        public boolean marksRetry;
         /** Longest advice to a client on when to come back; 0 means none may be given. */
         public long maxRetryAfterUs;
         /** Events come at most this often. */
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -67,9 +67,6 @@
     /** Gap between answers that a node assumes before it has seen any: careful with cold servers, for most
      * of a large fleet's nodes may have just started. */
     private static final double FIRST_GAP_US = 1_000_000;
-    /** What a fleet has shown it can do is forgotten in so many times the longest that a server is cold:
-     * long enough for a release that replaces all servers, one by one. */
-    private static final double STEADY_KEPT = 3;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
     private static final double FIRST_LIMIT = 4;
     /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and
@@ -143,7 +140,6 @@
     private long wakePending = Long.MAX_VALUE;
     private long lastServedAt;
     private double servedGapUs = FIRST_GAP_US;
-    private double steadyGapUs = FIRST_GAP_US;
     private int servedCount;
     private final double[] latencyUs;
     private final double[] leastLatencyUs;
@@ -400,10 +396,14 @@
     }
 
     /**
-     * How long a client has been asking before this try. Its time left tells: first tries of a class, the
-     * most by far, all have the same, and later ones what is left of the deadline.
+     * How long a client has been asking before this try: nothing where clients mark their repeats and this
+     * one is not marked. Else its time left tells: first tries of a class, the most by far, all have the
+     * same, and later ones what is left of the deadline.
      */
     private long elapsedBefore(Request request) {
+        if (set.marksRetry && !request.retry()) {
+            return 0;
+        }
         int c = request.classIndex();
         long deadline = set.classes.get(c).deadlineUs();
         boolean usual = Math.abs(request.leftUs() - usualLeftUs[c]) <= USUAL_LEFT_WITHIN * deadline;
@@ -976,7 +976,8 @@
                     : Math.min(leastLatencyUs[c] * LEAST_DRIFT, latencyUs[c]);
             double aim = call.aimUs;
             double crowded = Math.min(CROWDED_AT * aim, CROWDED_BY * leastLatencyUs[c]);
-            learnServed();
+            servedGapUs += meanGain(++servedCount) * (now - lastServedAt - servedGapUs);
+            lastServedAt = now;
             if (outcome.latencyUs() <= crowded) {
                 // A cold server gets little and is quick with it: were its limit to pass the others', all
                 // nodes together would choke it as soon as slow start lets go (i3a094a).
@@ -993,15 +994,6 @@
         }
     }
 
-    /** The gap between answers of late, and the one that the fleet has shown it can do, kept for a while. */
-    private void learnServed() {
-        double sinceUs = now - lastServedAt;
-        servedGapUs += meanGain(++servedCount) * (sinceUs - servedGapUs);
-        steadyGapUs += (servedGapUs < steadyGapUs ? meanGain(servedCount)
-                : Math.min(1, sinceUs / (STEADY_KEPT * Math.max(1, set.coldUs)))) * (servedGapUs - steadyGapUs);
-        lastServedAt = now;
-    }
-
     /** One cut for all that was sent before the last one. */
     private void cutLimit(Call call, int attempt, double cut) {
         Server server = call.servers[attempt];
@@ -1156,13 +1148,12 @@
      * send so many units as the rule's multiple; each spends half of that, spaced so that no burst spends
      * it at once, the first one after a random part of the space. Its limit keeps a server that is slow
      * besides below even that. Arrivals would not do as the measure: in a jam, clients' retries multiply
-     * them. Nor would answers of the moment, which fall with what is held back here: with most of a fleet
-     * cold each would bring the other down. So what was answered before goes on counting for a while.
+     * them.
      */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(steadyGapUs, MEAN_GAIN * (now - lastServedAt));
+        double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
         double part = server.weight / Math.max(server.weight, totalWeight);
         return (long) (server.coldPhase * gap / (part * share * Math.max(1, set.fallMultiple / 2)));
     }
--- a/src/main/java/cedarrelay/benchlink/BootInfo.java
+++ b/src/main/java/cedarrelay/benchlink/BootInfo.java
@@ -52,6 +52,7 @@
         set.secondCopies = flag("limits.parallelTries");
         set.cancel = flag("limits.cancelling");
         set.probes = flag("limits.probes");
+        set.marksRetry = flag("callers.marksRetry");
         set.maxRetryAfterUs = flag("limits.retryAfter") ? whole("limits.maxRetryAfterUs", 0) : 0;
         set.tickUs = whole("quantumUs", set.tickUs);
         set.connectTimeoutUs = whole("limits.dialTimeoutUs", set.connectTimeoutUs);
--- /dev/null
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -0,0 +1,349 @@
+package cedarrelay.node;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelPipeline;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMessageDecoderResult;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+
+/** One client's connection: its requests one by one, an answer to each, and what it may cost meanwhile. */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+    private static final Logger LOG = System.getLogger(ClientConnection.class.getName());
+    private static final int MAX_BODY = 64 * 1024;
+    /** Requests that a client may send ahead of its answers before it is no longer read. */
+    private static final int MOST_AHEAD = 16;
+    /** Requests one after the other that can't be used; a client that sends more doesn't mean to ask. */
+    private static final int MOST_BAD = 4;
+    /** How long a connection may be without a whole request at its start, and how long one may take from
+     * its first byte to its last, or an answer to be read: no client waits so long for an answer. */
+    private static final long PATIENCE_NS = TimeUnit.MILLISECONDS.toNanos(2_000);
+    /** How long a client may take to read the reason why its connection is closed. */
+    private static final long LINGER_MS = 500;
+    /** What is read and thrown away meanwhile: closed on unread bytes, the system would take the reason back. */
+    private static final int MOST_THROWN_AWAY = 256 * 1024;
+    private static final String READY = "/ready";
+
+    /** A request read while an earlier one on its connection still waits for its answer. */
+    private record Ahead(FullHttpRequest http, long arrivedNs, long cost) { }
+
+    private final ClientServer server;
+    private final Channel channel;
+    private final RequestDecoder decoder = new RequestDecoder();
+    private final Deque<Ahead> ahead = new ArrayDeque<>();
+    private final long openedNs = System.nanoTime();
+    private Exchange held;
+    private long heldCost;
+    private long partCost;
+    private long begunNs;
+    private long answeredNs;
+    private int unwritten;
+    private int bad;
+    private int thrownAway;
+    private boolean asked;
+    /** Nothing more is taken: what is held and waits is answered, then the connection closed. */
+    private boolean deaf;
+    private boolean ending;
+
+    private ClientConnection(ClientServer server, Channel channel) {
+        this.server = server;
+        this.channel = channel;
+    }
+
+    /** Sets up a client's connection. */
+    static void open(ClientServer server, ChannelPipeline pipeline) {
+        ClientConnection connection = new ClientConnection(server, pipeline.channel());
+        pipeline.addLast(connection.new Deafness(), connection.decoder, new HttpResponseEncoder(),
+                connection.new BodyReader(), connection);
+    }
+
+    /** Whether closing it costs nobody an answer: nothing is held, and nothing has begun to come. */
+    boolean isIdle() {
+        return held == null && unwritten == 0 && ahead.isEmpty() && !decoder.isMidRequest();
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    /** Closes the connection if its client has kept it waiting for too long. */
+    void closeIfOverdue(long nowNs) {
+        if (ending || unwritten > 0) {
+            if (nowNs - answeredNs > PATIENCE_NS) {
+                close();
+            }
+            return;
+        }
+        boolean waits = held == null && ahead.isEmpty();
+        if (waits && decoder.isMidRequest() && nowNs - (asked ? begunNs : openedNs) > PATIENCE_NS) {
+            reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "request not whole in time"));
+        } else if (waits && !asked && nowNs - openedNs > PATIENCE_NS) {
+            close();
+        }
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+        server.opened(this);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        server.closed(this);
+        for (Ahead next : ahead) {
+            next.http.release();
+            server.inHand().remove(next.cost);
+        }
+        ahead.clear();
+        server.inHand().remove(partCost + heldCost);
+        partCost = 0;
+        heldCost = 0;
+        if (held != null) {
+            Exchange left = held;
+            held = null;
+            left.gone();
+        }
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        long now = System.nanoTime();
+        server.inHand().remove(partCost);
+        partCost = 0;
+        if (deaf || !(message instanceof FullHttpRequest http)) {
+            ReferenceCountUtil.release(message);
+            return;
+        }
+        long cost = InHand.costOf(http.decoderResult() instanceof HttpMessageDecoderResult size
+                ? size.totalSize() : 0, http.content().readableBytes());
+        if (!server.inHand().add(cost)) {
+            http.release();
+            reject(new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too much at once"));
+            return;
+        }
+        asked = true;
+        server.heardFrom(this);
+        if (held != null || !ahead.isEmpty()) {
+            ahead.add(new Ahead(http, now, cost));
+            channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
+            return;
+        }
+        take(http, now, cost);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        if (!decoder.isMidRequest()) {
+            begunNs = 0;
+        } else if (begunNs == 0) {
+            begunNs = System.nanoTime();
+        }
+    }
+
+    private void take(FullHttpRequest http, long arrivedNs, long cost) {
+        heldCost = cost;
+        try {
+            if (http.decoderResult().isFailure()) {
+                reject(malformed(http.decoderResult().cause()));
+                return;
+            }
+            boolean keepAlive = HttpUtil.isKeepAlive(http);
+            if (http.uri().equals(READY)) {
+                answer(ready(http), keepAlive);
+                return;
+            }
+            if (server.isRehearsal(http)) {
+                answer(Exchange.plain(HttpResponseStatus.OK, "rehearsed"), keepAlive);
+                return;
+            }
+            held = new Exchange(this, server.read(http), arrivedNs, keepAlive);
+            server.take(held);
+        } catch (BadRequest e) {
+            turnAway(e, http);
+        } finally {
+            http.release();
+        }
+    }
+
+    private void turnAway(BadRequest e, FullHttpRequest http) {
+        FullHttpResponse response = bad(e);
+        boolean head = http.method().equals(HttpMethod.HEAD);
+        if (head) {
+            // An answer to HEAD has no body, whatever its length says.
+            response = response.replace(Unpooled.EMPTY_BUFFER);
+        }
+        answer(response, HttpUtil.isKeepAlive(http) && !head);
+    }
+
+    private FullHttpResponse ready(FullHttpRequest http) {
+        if (!http.method().equals(HttpMethod.GET)) {
+            return bad(new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
+        }
+        String not = server.notReady();
+        return not == null ? Exchange.plain(HttpResponseStatus.OK, "ready")
+                : Exchange.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, not);
+    }
+
+    private static FullHttpResponse bad(BadRequest e) {
+        FullHttpResponse response = Exchange.plain(e.status(), e.getMessage());
+        if (e.status().equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
+            response.headers().set(HttpHeaderNames.ALLOW, e.getMessage().replace("use ", ""));
+        }
+        return response;
+    }
+
+    private static BadRequest malformed(Throwable cause) {
+        if (cause instanceof TooLongHttpLineException) {
+            return new BadRequest(HttpResponseStatus.REQUEST_URI_TOO_LONG, "request line too long");
+        }
+        if (cause instanceof TooLongHttpHeaderException) {
+            return new BadRequest(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers too large");
+        }
+        return new BadRequest(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
+    }
+
+    /** Nothing that follows on the connection can be understood; what is held is answered first. */
+    private void reject(BadRequest e) {
+        deaf = true;
+        if (held != null || !ahead.isEmpty() || ending) {
+            return;
+        }
+        ending = true;
+        write(closing(bad(e))).addListener(written -> {
+            if (channel instanceof SocketChannel socket) {
+                socket.shutdownOutput();
+            }
+            channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        });
+    }
+
+    /** The answer to the request that is held or has just been read. */
+    void answer(FullHttpResponse response, boolean keepAlive) {
+        bad = response.status().codeClass() == HttpStatusClass.CLIENT_ERROR ? bad + 1 : 0;
+        held = null;
+        server.inHand().remove(heldCost);
+        heldCost = 0;
+        boolean last = ahead.isEmpty();
+        boolean keep = keepAlive && !ending && bad < MOST_BAD && !(last && (deaf || server.isDraining()));
+        ChannelFuture writing = write(keep ? response : closing(response));
+        if (!keep) {
+            deaf = true;
+            ending = true;
+            writing.addListener(ChannelFutureListener.CLOSE);
+        } else if (!last) {
+            // Later, not from here: a long line of requests that can't be taken would go as deep; and not
+            // before the answer is written: a client that doesn't read must not have them pile up.
+            writing.addListener(written -> channel.eventLoop().execute(this::takeAhead));
+        } else if (server.isClosing()) {
+            close();
+        }
+    }
+
+    private ChannelFuture write(FullHttpResponse response) {
+        unwritten++;
+        answeredNs = System.nanoTime();
+        return channel.writeAndFlush(response).addListener(written -> unwritten--);
+    }
+
+    private void takeAhead() {
+        Ahead next = held == null && !ending ? ahead.poll() : null;
+        if (next != null) {
+            channel.config().setAutoRead(true);
+            take(next.http, next.arrivedNs, next.cost);
+        }
+    }
+
+    private static FullHttpResponse closing(FullHttpResponse response) {
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        return response;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        if (!channel.isActive() || cause instanceof IOException) {
+            // It broke, or ended within a request: nothing is owed any more.
+            close();
+            return;
+        }
+        // A fault of ours: what was taken is still owed its answer.
+        LOG.log(Level.ERROR, "a client's connection failed", cause);
+        if (held != null) {
+            held.failed(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
+        } else {
+            close();
+        }
+    }
+
+    /** Once nothing more is taken, bytes cost no decoding, and beyond some of them no reading. */
+    private final class Deafness extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            if (!deaf) {
+                ctx.fireChannelRead(message);
+                return;
+            }
+            thrownAway += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+            ReferenceCountUtil.release(message);
+            if (thrownAway > MOST_THROWN_AWAY) {
+                channel.config().setAutoRead(false);
+            }
+        }
+    }
+
+    /** Reads a request whole; one that is too large is told so and its connection closed. */
+    private final class BodyReader extends HttpObjectAggregator {
+        BodyReader() {
+            super(MAX_BODY, true);
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+            int more = message instanceof HttpContent content ? content.content().readableBytes() : 0;
+            if (deaf || !server.inHand().add(more)) {
+                ReferenceCountUtil.release(message);
+                reject(new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too much at once"));
+                return;
+            }
+            partCost += more;
+            super.channelRead(ctx, message);
+        }
+
+        @Override
+        protected Object newContinueResponse(HttpMessage start, int most, ChannelPipeline pipeline) {
+            // It would overtake the answer to an earlier request; and a client may go on without it.
+            return held == null && ahead.isEmpty() && unwritten == 0
+                    ? super.newContinueResponse(start, most, pipeline) : null;
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            reject(new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body over 64 KiB"));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/cedarrelay/node/RequestDecoder.java
@@ -0,0 +1,47 @@
+package cedarrelay.node;
+
+import java.util.List;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpRequestDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** Netty's decoder of requests, strict about their length, and telling whether one has begun to come. */
+final class RequestDecoder extends HttpRequestDecoder {
+    static final int MAX_LINE = 8_192;
+    static final int MAX_HEADERS = 16_384;
+
+    private boolean begun;
+
+    RequestDecoder() {
+        super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEADERS));
+    }
+
+    /** Whether part of a request has come, and not yet its end. */
+    boolean isMidRequest() {
+        return begun || actualReadableBytes() > 0;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf buffer, List<Object> out) throws Exception {
+        super.decode(ctx, buffer, out);
+        if (!out.isEmpty() && out.get(out.size() - 1) instanceof LastHttpContent) {
+            begun = false;
+        }
+    }
+
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) throws Exception {
+        begun = true;
+        return super.createMessage(initialLine);
+    }
+
+    /** Netty would believe the one and drop the other; who believes the other sees a second request in it. */
+    @Override
+    protected void handleTransferEncodingChunkedWithContentLength(HttpMessage message) {
+        throw new IllegalArgumentException("two lengths");
+    }
+}
--- a/src/test/java/cedarrelay/MechanismTest.java
+++ b/src/test/java/cedarrelay/MechanismTest.java
@@ -1,6 +1,7 @@
 package cedarrelay;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -21,6 +22,18 @@
 /** The ordinary path of DESIGN: weighted draws, own requests in flight, counting, pass-on, deferral. */
 class MechanismTest {
 
+    @Test
+    void aFirstTryIsNotTakenForALateOneBecauseItsClientWaitsLessThanOthers() {
+        // Guards against giving up at once what had only come slowly, where clients mark their repeats.
+        Balancer.Settings set = Node.settings();
+        set.marksRetry = true;
+        Node node = new Node(set, 7).with(3);
+        for (int i = 0; i < 100; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        assertNotNull(node.last(node.ask(Node.SAFE, 400_000)), "given up at once");
+    }
+
     @Test
     void twoServersWithUnequalOwnRequestsInFlightSendToTheEmptierOne() {
         Node node = new Node().with(2);
