Bound what a client may take in time, bytes and patience

From reading the code, each checked by a test that fails without the change: a client that says nothing or half a request was never closed; a half-read request counted as idle and was closed to make room; requests sent ahead, 16 of up to 64 KiB on each connection, could overrun the heap (a process of 64 MB ended in OutOfMemoryError under 150 connections); a length beside chunked framing was dropped and the body read as chunked, so that a second request in it was taken; the same bad request could be sent without end; an Error out of the module left its request open. At fault: ClientServer.Connection (isIdle, channelRead, exceptionCaught), the HttpServerCodec, Node.call. Tests that sent bad requests in a long line now send good ones.

--- a/src/main/java/cedarrelay/node/ClientRequest.java
+++ b/src/main/java/cedarrelay/node/ClientRequest.java
@@ -100,7 +100,9 @@
             for (CharSequence name : HOP_BY_HOP) {
                 onward.remove(name);
             }
-            return new ClientRequest(id(headers), classIndex, tenant, 1_000 * remainingMs, workUs,
+            // No client waits longer than the settings say, whatever it says itself.
+            long remainingUs = Math.min(1_000 * remainingMs, cls.deadlineUs());
+            return new ClientRequest(id(headers), classIndex, tenant, remainingUs, workUs,
                     "1".equals(headers.get(RETRY)), method, http.uri(), onward,
                     ByteBufUtil.getBytes(http.content()));
         }
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -75,7 +75,7 @@
 
     /** A request taken, until it is answered and no attempt is out. */
     private final class Held {
-        private final ClientServer.Exchange exchange;
+        private final Exchange exchange;
         private final long id;
         private final long deadlineUs;
         private final List<Sent> sent = new ArrayList<>(2);
@@ -83,7 +83,7 @@
         private int out;
         private boolean over;
 
-        Held(ClientServer.Exchange exchange, long deadlineUs) {
+        Held(Exchange exchange, long deadlineUs) {
             this.exchange = exchange;
             this.id = exchange.request().id();
             this.deadlineUs = deadlineUs;
@@ -197,7 +197,7 @@
     }
 
     void openRehearsal(ChannelPipeline pipeline) {
-        clients.open(pipeline);
+        ClientConnection.open(clients, pipeline);
     }
 
     /** Gives back all that it holds; for the end of a rehearsal. */
@@ -263,7 +263,8 @@
     private void call(Event event) {
         try {
             event.call.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
+            // Errors too: out of memory for one request, the next may be small.
             LOG.log(Level.ERROR, "a call of the module failed", e);
             if (event.touches != null) {
                 fail(event.touches, HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
@@ -273,7 +274,7 @@
 
     // ---------------------------------------------------------------- clients
 
-    private void take(ClientServer.Exchange exchange) {
+    private void take(Exchange exchange) {
         ClientRequest request = exchange.request();
         if (held.containsKey(request.id())) {
             exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -1,6 +1,7 @@
 package cedarrelay.node;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -197,6 +198,34 @@
         }
     }
 
+    @Test
+    void manyLargeRequestsAtOnceDoNotCostIt() throws Exception {
+        server.script(FakePeer.SILENT);
+        start(Fixture.config(discovery, server), "");
+        List<Socket> many = new ArrayList<>();
+        for (int i = 0; i < 150; i++) {
+            Socket socket = connect();
+            many.add(socket);
+            try {
+                FakePeer.write(socket, Fixture.request("POST", "/order", i, "", "x"));
+                for (int j = 0; j < 14; j++) {
+                    FakePeer.write(socket, Fixture.request("POST", "/order", 1_000 + 20 * i + j, "",
+                            "x".repeat(60_000)));
+                }
+            } catch (IOException e) {
+                // Closed, or no longer read: either will do.
+                continue;
+            }
+        }
+        await("/ready");
+        for (Socket socket : many) {
+            socket.close();
+        }
+        assertTrue(process.isAlive());
+        String said = said();
+        assertFalse(said.contains("OutOfMemory"), said);
+    }
+
     @Test
     void aBadConfigurationEndsItWithOneClearLine() throws Exception {
         JsonObject noSettings = Fixture.config(discovery, server);
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -128,12 +128,12 @@
         first.script(FakePeer.SILENT);
         start(first);
         FakePeer.write(client, Fixture.request("GET", "/view", 1, "", "")
-                + "GET /n HTTP/1.1\r\n\r\n".repeat(most));
+                + "GET /ready HTTP/1.1\r\n\r\n".repeat(most));
         first.nextRequest();
         FakePeer.write(FakePeer.soon(first.accepted), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
         assertEquals(200, status(FakePeer.read(client)));
         for (int i = 0; i < most; i++) {
-            assertEquals(404, status(FakePeer.read(client)));
+            assertEquals(200, status(FakePeer.read(client)));
         }
     }
 
@@ -245,6 +245,15 @@
                 Map.entry(400, good.replace("Remaining-Ms: " + Fixture.REMAINING_MS, "Remaining-Ms: soon")),
                 Map.entry(400, Fixture.request("POST", "/photo", 1, "", "")),
                 Map.entry(400, "COMPLETE NONSENSE\r\n\r\n"),
+                Map.entry(400, good.replace("\r\n\r\n", "\r\nno colon here\r\n\r\n")),
+                Map.entry(400, order("Content-Length: 1\r\nContent-Length: 2\r\n", "xx")),
+                Map.entry(400, order("Content-Length: 1, 1\r\n", "x")),
+                Map.entry(400, order("Content-Length: +1\r\n", "x")),
+                Map.entry(400, order("Content-Length: -1\r\n", "x")),
+                Map.entry(400, order("Content-Length: 99999999999999999999\r\n", "x")),
+                Map.entry(413, order("Content-Length: 60000000\r\n", "x")),
+                Map.entry(400, order("Transfer-Encoding: gzip\r\n", "x")),
+                Map.entry(400, order("Transfer-Encoding: chunked\r\n", "zz\r\nx\r\n")),
                 Map.entry(413, Fixture.request("POST", "/order", 1, "", "x".repeat(65_537))),
                 Map.entry(413, Fixture.request("POST", "/order", 1, "Transfer-Encoding: chunked\r\n", "")
                         .replace("Content-Length: 0\r\n", "") + "10001\r\n" + "x".repeat(0x10001)
@@ -264,6 +273,74 @@
         assertEquals(1, first.requests.size());
     }
 
+    /** An order with these headers for its length. */
+    private static String order(String lengths, String body) {
+        return Fixture.request("POST", "/order", 1, "", "").replace("Content-Length: 0\r\n", lengths) + body;
+    }
+
+    @Test
+    void aRequestHiddenInABodyOfTwoLengthsIsNotTaken() throws Exception {
+        start(first);
+        String hidden = Fixture.request("POST", "/order", 2, "", "");
+        String answer = ask(order("Content-Length: " + (5 + hidden.length())
+                + "\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n" + hidden));
+        assertEquals(400, status(answer));
+        assertEquals("close", FakePeer.header(answer, "Connection"));
+        assertNull(FakePeer.read(client), "the connection goes on");
+        assertTrue(first.requests.isEmpty());
+    }
+
+    @Test
+    void aClientThatSendsBadRequestsAgainAndAgainIsClosed() throws Exception {
+        start(first);
+        String bad = Fixture.request("GET", "/nothing", 1, "", "");
+        int answers = 0;
+        for (String answer = ask(bad); answer != null && answers < 100; answer = ask(bad)) {
+            assertEquals(404, status(answer));
+            answers++;
+            if ("close".equals(FakePeer.header(answer, "Connection"))) {
+                assertNull(FakePeer.read(client));
+                assertTrue(answers > 1, "closed for one mistake");
+                return;
+            }
+        }
+        throw new AssertionError("never closed");
+    }
+
+    @Test
+    void whoSaysNothingOrHalfARequestIsNotWaitedForLong() throws Exception {
+        int port = start(Fixture.config(discovery, first));
+        try (Socket silent = connect(port); Socket half = connect(port)) {
+            client = connect(port);
+            FakePeer.write(half, "GET /view HTTP/1.1\r\nX-Txn: ");
+            FakePeer.write(client, order("Content-Length: 10\r\n", "half"));
+            assertNull(FakePeer.read(silent));
+            assertEquals(408, status(FakePeer.read(half)));
+            assertEquals(408, status(FakePeer.read(client)));
+        }
+    }
+
+    @Test
+    void roomIsMadeByThoseThatNeverAskedAndNotByARequestThatIsComing() throws Exception {
+        JsonObject json = Fixture.config(discovery, first);
+        json.getAsJsonObject("limits").addProperty("sockets", Sockets.RESERVE + 8);
+        int port = start(json);
+        client = connect(port);
+        assertEquals(200, status(ask(Fixture.request("GET", "/view", 1, "", ""))));
+        String request = Fixture.request("GET", "/view", 2, "", "");
+        FakePeer.write(client, request.substring(0, 30));
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            silent.add(connect(port));
+        }
+        assertNull(FakePeer.read(silent.get(0)));
+        FakePeer.write(client, request.substring(30));
+        assertEquals(200, status(FakePeer.read(client)));
+        for (Socket socket : silent) {
+            socket.close();
+        }
+    }
+
     @Test
     void anIdInHandIsNotTakenTwice() throws Exception {
         first.script(FakePeer.SILENT);
