Tell the module of a dial that outlasts its attempt, and drop the connections of a server fallen silent

From reading the code, each with a test that fails without: an attempt whose time was up while its dial hung was reported MOOT, which the module passes over ("never sent"), so a server that never comes up was not counted as failing whenever the attempt's limit was the shorter one; and each idle connection to a server that had fallen silent cost a time-out of its own. At fault: ServerPool.Attempt.giveUp. Now such a time-out is CONNECT_FAILED, which never ran either; and a time-out during which the server answered nothing closes its idle connections.

--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -55,6 +55,8 @@
         /** Counts addresses and processes: a connection of an earlier one is not reused. */
         int generation;
         int dialing;
+        /** When it last answered something. */
+        long heardNs = System.nanoTime();
         /** Most recently used first. */
         final Deque<Connection> idle = new ArrayDeque<>();
         final Deque<Attempt> waiting = new ArrayDeque<>();
@@ -65,6 +67,7 @@
         private final Server server;
         private final Caller caller;
         private Connection connection;
+        private long sentNs;
         private boolean over;
 
         private Attempt(Server server, Caller caller) {
@@ -78,8 +81,9 @@
         }
 
         /**
-         * Stops waiting. What never went out is MOOT and stays unsent; what was not handed over whole
-         * can't have run; only what was is reported as the caller says.
+         * Stops waiting. What never went out is MOOT and stays unsent, but for want of a connection when its
+         * time is up: a server that never comes up must not look as if nothing had been tried. What was not
+         * handed over whole can't have run; only what was is reported as the caller says.
          */
         void giveUp(Result result) {
             if (over) {
@@ -87,13 +91,17 @@
             }
             if (connection == null) {
                 server.waiting.remove(this);
-                end(Result.MOOT, null);
+                end(result == Result.TIMEOUT ? Result.CONNECT_FAILED : Result.MOOT, null);
                 return;
             }
             Connection used = connection;
             used.attempt = null;
             // Its answer may still come: the connection can't carry another request.
             used.channel.close();
+            if (result == Result.TIMEOUT && server.heardNs - sentNs < 0) {
+                // Nothing from it all the while: fallen silent, it would cost a time-out on each of these.
+                closeIdle(server);
+            }
             end(used.written ? result : Result.CONNECT_FAILED, null);
         }
 
@@ -315,6 +323,7 @@
         void send(Attempt next) {
             attempt = next;
             next.connection = this;
+            next.sentNs = System.nanoTime();
             written = false;
             reader = new AnswerReader();
             // The future tells whether the kernel has taken the last byte; Netty never writes it twice.
@@ -372,6 +381,7 @@
         private void finish() {
             Attempt done = attempt;
             Answer answer = reader.answer();
+            server.heardNs = System.nanoTime();
             boolean away = (answer.status() == 503 || answer.status() == 504)
                     && "1".equals(reader.header(TURNED_AWAY));
             attempt = null;
--- a/src/test/java/cedarrelay/node/ServerPoolTest.java
+++ b/src/test/java/cedarrelay/node/ServerPoolTest.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 import cedarrelay.Balancer.Result;
 import io.netty.buffer.Unpooled;
@@ -203,6 +204,15 @@
 
     @Test
     void aConnectionThatNeverComesUpIsGivenUpAtTheDialLimit() throws Exception {
+        neverUp(attempt -> { });
+    }
+
+    @Test
+    void anAttemptWhoseTimeIsUpWhileItsDialHangsCouldNotConnect() throws Exception {
+        neverUp(attempt -> loop.execute(() -> attempt.giveUp(Result.TIMEOUT)));
+    }
+
+    private void neverUp(Consumer<ServerPool.Attempt> meanwhile) throws Exception {
         try (ServerSocket full = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             // Linux drops what comes when the queue of connections not accepted is full.
             List<Socket> fill = new ArrayList<>();
@@ -216,7 +226,7 @@
                 }
             }
             Probe probe = new Probe(10);
-            start(pool("127.0.0.1:" + full.getLocalPort(), IDLE_US), probe);
+            meanwhile.accept(start(pool("127.0.0.1:" + full.getLocalPort(), IDLE_US), probe));
             assertEquals(Result.CONNECT_FAILED, probe.report().result());
             for (Socket socket : fill) {
                 socket.close();
@@ -248,6 +258,23 @@
         FakePeer.soon(server.ended);
     }
 
+    @Test
+    void aServerFallenSilentCostsOneTimeOutAndNotOneForEachConnection() throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe[] probes = {new Probe(1), new Probe(2)};
+        start(pool, probes[0]);
+        start(pool, probes[1]);
+        assertEquals(Result.OK, probes[0].report().result());
+        assertEquals(Result.OK, probes[1].report().result());
+        server.script(FakePeer.SILENT);
+        Probe silent = new Probe(3);
+        ServerPool.Attempt attempt = start(pool, silent);
+        loop.submit(() -> attempt.giveUp(Result.TIMEOUT)).get();
+        assertEquals(Result.TIMEOUT, silent.report().result());
+        FakePeer.soon(server.ended);
+        FakePeer.soon(server.ended);
+    }
+
     @Test
     void anAttemptGivenUpBeforeItsConnectionIsUpIsNeverSent() throws Exception {
         ServerPool pool = pool(server.address(), IDLE_US);
