--- a/src/main/java/cedarrelay/node/AnswerReader.java
+++ b/src/main/java/cedarrelay/node/AnswerReader.java
@@ -16,9 +16,9 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
 
-/** Puts one answer of a server together, within limits, and takes nothing for an answer that may not be one. */
+/** Puts one answer of a server together, within limits, and takes for an answer only what is surely one. */
 final class AnswerReader {
-    static final int MAX_BODY = 64 * 1024;
+    private static final int MAX_BODY = 64 * 1024;
     private static final int MAX_LINE = 4_096;
     private static final int MAX_HEADERS = 16_384;
     /** Informational answers ahead of the final one; servers send one or two. */
--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -46,7 +46,8 @@
     private static final long PATIENCE_NS = TimeUnit.MILLISECONDS.toNanos(2_000);
     /** How long a client may take to read the reason why its connection is closed. */
     private static final long LINGER_MS = 500;
-    /** What is read and thrown away meanwhile: closed on unread bytes, the system would take the reason back. */
+    /** What is read and thrown away meanwhile: closed on unread bytes, the system would take the reason
+     * back. */
     private static final int MOST_THROWN_AWAY = 256 * 1024;
     private static final String READY = "/ready";
 
