Keep clients' connections only while there is room, and make room for all that come

Checked: a trace of the node's sockets: a new connection comes only right after another one has ended, while some 240 stand open; what comes is answered in its time. So connections that asked once and stay spend what clients may open. At fault: ClientConnection.answer kept every connection, whatever the room. Now: from a quarter of the descriptors on each answer ends its connection and says so, which crosses no request.

--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -89,6 +89,11 @@
         return held == null && unwritten == 0 && ahead.isEmpty() && !decoder.isMidRequest();
     }
 
+    /** Since when it has been so, by {@link System#nanoTime}. */
+    long restingSinceNs() {
+        return asked ? answeredNs : openedNs;
+    }
+
     void close() {
         channel.close();
     }
@@ -251,7 +256,7 @@
         server.inHand().remove(heldCost);
         heldCost = 0;
         boolean last = ahead.isEmpty();
-        boolean keep = keepAlive && !ending && bad < MOST_BAD && !(last && (deaf || server.isDraining()));
+        boolean keep = keepAlive && !ending && bad < MOST_BAD && !(last && (deaf || server.endsConnections()));
         ChannelFuture writing = write(keep ? response : closing(response));
         if (!keep) {
             deaf = true;
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -26,7 +26,12 @@
 /** The client side as a whole: which connections are accepted, kept and closed. */
 final class ClientServer {
     private static final int BACKLOG = 1_024;
-    private static final long ACCEPT_AGAIN_MS = 50;
+    private static final long ACCEPT_AGAIN_MS = 20;
+    /** How long an idle connection is kept once there are many: some clients ask once and never close, and
+     * what the others may open is spent by that. */
+    private static final long KEPT_NS = TimeUnit.MILLISECONDS.toNanos(2_100);
+    /** What has rested for less is not closed to make room. */
+    private static final long YOUNG_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** How often connections are looked through for those that keep the node waiting. */
     private static final long SWEEP_MS = 200;
     /** Bytes read at once, at most: what is decoded of them is all kept. */
@@ -81,6 +86,10 @@
             // A copy: what is closed is taken out at once.
             new ArrayList<>(some).forEach(c -> c.closeIfOverdue(now));
         }
+        boolean closed = true;
+        while (closed && sockets.areClientsMany()) {
+            closed = closeOldestIdle(connections, now - KEPT_NS);
+        }
     }
 
     /** Requests with this token are part of the rehearsal and answered here. */
@@ -112,8 +121,9 @@
         return inHand;
     }
 
-    boolean isDraining() {
-        return draining;
+    /** Whether connections end with their answers. */
+    boolean endsConnections() {
+        return draining || sockets.areClientsCrowded();
     }
 
     boolean isClosing() {
@@ -163,15 +173,21 @@
         return connections.isEmpty() && silent.isEmpty();
     }
 
-    /** Those first that never asked: closing another can cross its next request. */
+    /**
+     * Those first that never asked: closing another can cross its next request. But none that has only just
+     * come or been answered: the system may hold its request already, unread while others are accepted.
+     */
     private boolean closeOldestIdle() {
-        return closeOldestIdle(silent) || closeOldestIdle(connections);
+        long beforeNs = System.nanoTime() - YOUNG_NS;
+        return closeOldestIdle(silent, beforeNs) || closeOldestIdle(connections, beforeNs);
     }
 
-    private static boolean closeOldestIdle(Set<ClientConnection> some) {
+    private boolean closeOldestIdle(Set<ClientConnection> some, long beforeNs) {
         for (ClientConnection connection : some) {
-            if (connection.isIdle()) {
+            if (connection.isIdle() && connection.restingSinceNs() - beforeNs < 0) {
                 connection.close();
+                // Counted off here: Netty tells of it only later, and what waits would take it for no room.
+                closed(connection);
                 return true;
             }
         }
--- a/src/main/java/cedarrelay/node/Sockets.java
+++ b/src/main/java/cedarrelay/node/Sockets.java
@@ -13,8 +13,16 @@
     /** Clients may take this share of the rest: what they ask for needs connections to servers. */
     private static final double CLIENTS_SHARE = 0.75;
 
+    /** From this share of the limit on clients' connections are many: they ask on a third of it at most. */
+    private static final double MANY_CLIENTS_SHARE = 1.0 / 6;
+
+    /** From this share on none is kept for a next request: the answer says so, which crosses nothing. */
+    private static final double CROWD_SHARE = 1.0 / 4;
+
     private final int most;
     private final int mostClients;
+    private final int crowd;
+    private final int manyClients;
     private BooleanSupplier closeIdleClient = () -> false;
     private BooleanSupplier closeIdleServer = () -> false;
     private Runnable onRoom = () -> { };
@@ -24,6 +32,8 @@
     Sockets(int limit) {
         most = Math.max(2, limit - RESERVE);
         mostClients = Math.max(1, (int) (CLIENTS_SHARE * most));
+        crowd = (int) (CROWD_SHARE * limit);
+        manyClients = Math.min(mostClients, (int) (MANY_CLIENTS_SHARE * limit));
     }
 
     /** How to close an idle connection of the client side, and what to do when there is room again. */
@@ -41,21 +51,28 @@
         return clients < mostClients && clients + servers < most;
     }
 
+    /** Whether idle ones are better closed than kept. */
+    boolean areClientsMany() {
+        return clients > manyClients;
+    }
+
+    /** Whether a client's connection is better ended with its answer. */
+    boolean areClientsCrowded() {
+        return clients > crowd;
+    }
+
     /** Counts an accepted connection. */
     void addClient() {
         clients++;
     }
 
-    /** Closes an idle connection if another client's may not be accepted; whether it may now. */
+    /** Closes idle connections if another client's may not be accepted; whether it may now. */
     boolean makeClientRoom() {
-        if (!isClientRoom()) {
-            // At the clients' own bound a server's connection less would make no room. One at a time, not
-            // until there is room: what is closed is counted off only later.
-            if (clients >= mostClients) {
-                closeIdleClient.getAsBoolean();
-            } else {
-                closeIdle();
-            }
+        // Several are accepted at once: the count may lie beyond the bound by as many.
+        boolean closed = true;
+        while (!isClientRoom() && closed) {
+            // At the clients' own bound a server's connection less would make no room.
+            closed = clients >= mostClients ? closeIdleClient.getAsBoolean() : closeIdle();
         }
         return isClientRoom();
     }
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -341,6 +341,79 @@
         }
     }
 
+    @Test
+    void newConnectionsAcceptedTogetherDoNotPushOneAnotherOut() throws Exception {
+        JsonObject json = Fixture.config(discovery, first);
+        json.getAsJsonObject("limits").addProperty("sockets", Sockets.RESERVE + 8);
+        int port = start(json);
+        List<Socket> all = new ArrayList<>();
+        for (int i = 0; i < 6; i++) {
+            client = connect(port);
+            all.add(client);
+            assertEquals(200, status(ask(Fixture.request("GET", "/view", i, "", ""))));
+        }
+        CountDownLatch sent = new CountDownLatch(1);
+        group.next().execute(() -> {
+            try {
+                sent.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        List<Socket> fresh = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            Socket socket = connect(port);
+            fresh.add(socket);
+            FakePeer.write(socket, Fixture.request("GET", "/view", 10 + i, "", ""));
+        }
+        sent.countDown();
+        for (Socket socket : fresh) {
+            assertEquals(200, status(FakePeer.read(socket)));
+        }
+        all.addAll(fresh);
+        for (Socket socket : all) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void whoAsksOnceAndStaysIsClosedOnceConnectionsAreMany() throws Exception {
+        JsonObject json = Fixture.config(discovery, first);
+        json.getAsJsonObject("limits").addProperty("sockets", Sockets.RESERVE + 80);
+        int port = start(json);
+        List<Socket> all = new ArrayList<>();
+        // A sixth of 144 is 24: one of these is too many, and all have room.
+        for (int i = 0; i < 25; i++) {
+            client = connect(port);
+            all.add(client);
+            assertEquals(200, status(ask(Fixture.request("GET", "/view", i, "", ""))));
+        }
+        assertNull(FakePeer.read(all.get(0)), "the oldest is kept");
+        assertEquals(200, status(ask(Fixture.request("GET", "/view", 99, "", ""))));
+        for (Socket socket : all) {
+            socket.close();
+        }
+    }
+
+    @Test
+    void inACrowdAConnectionEndsWithItsAnswer() throws Exception {
+        JsonObject json = Fixture.config(discovery, first);
+        json.getAsJsonObject("limits").addProperty("sockets", Sockets.RESERVE + 56);
+        int port = start(json);
+        List<Socket> all = new ArrayList<>();
+        // A quarter of 120 is 30.
+        for (int i = 0; i < 31; i++) {
+            all.add(connect(port));
+        }
+        client = connect(port);
+        String answer = ask(Fixture.request("GET", "/view", 1, "", ""));
+        assertEquals(200, status(answer));
+        assertEquals("close", FakePeer.header(answer, "Connection"));
+        for (Socket socket : all) {
+            socket.close();
+        }
+    }
+
     @Test
     void anIdInHandIsNotTakenTwice() throws Exception {
         first.script(FakePeer.SILENT);
