--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -256,7 +256,8 @@
         server.inHand().remove(heldCost);
         heldCost = 0;
         boolean last = ahead.isEmpty();
-        boolean keep = keepAlive && !ending && bad < MOST_BAD && !(last && (deaf || server.endsConnections()));
+        boolean keep = keepAlive && !ending && bad < MOST_BAD
+                && !(last && (deaf || server.endsConnections()));
         ChannelFuture writing = write(keep ? response : closing(response));
         if (!keep) {
             deaf = true;
