Out of descriptors, the first line in the log no longer ends the event loop

Its message was only "Stream closed": the test's said() destroyed the process, which closes what it has written. Read by the handle instead, it shows the cause: Node.call logged a fault of the module while no descriptor was left; the first line of a log reads the time zones from a file, that threw an Error out of the log, Netty's own warning threw another, and the event loop ended with all it held. (In manyLargeRequestsAtOnceDoNotCostIt the same said() had made the check for an OutOfMemoryError one that could not fail.)

Ruled out: closing the asking client as an idle one (it is the youngest), and a process that has ended.

Mended in two places: the node logs that it listens, at a time when descriptors are there, so that the log has all files it needs; and the lower of limits.sockets and the system's own limit counts, so that the bound on sockets works where the configuration promises too much.

--- a/src/main/java/cedarrelay/node/Config.java
+++ b/src/main/java/cedarrelay/node/Config.java
@@ -53,6 +53,12 @@
         return read(rest);
     }
 
+    /** The same with no more descriptors than the system gives. */
+    Config within(int descriptors) {
+        return new Config(listen, discovery, seed, Math.min(sockets, descriptors), connIdleUs, settings,
+                known);
+    }
+
     static Config parse(String text, Map<String, String> environment) {
         JsonObject json;
         try {
--- /dev/null
+++ b/src/main/java/cedarrelay/node/Descriptors.java
@@ -0,0 +1,32 @@
+package cedarrelay.node;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+
+/** What the system lets this process open, which may be less than the configuration promises. */
+final class Descriptors {
+    private static final Path LIMITS = Path.of("/proc/self/limits");
+    private static final String NAME = "Max open files";
+
+    private Descriptors() { }
+
+    /** The limit that holds now; the largest number where the system doesn't tell. */
+    static int limit() {
+        try (Stream<String> lines = Files.lines(LIMITS)) {
+            return limit(lines);
+        } catch (IOException e) {
+            // No such file on this system: the configuration has to be believed.
+            return Integer.MAX_VALUE;
+        }
+    }
+
+    /** Of the lines of a table whose columns are name, limit that holds, limit that can be set, unit. */
+    static int limit(Stream<String> lines) {
+        return lines.filter(line -> line.startsWith(NAME))
+                .map(line -> line.substring(NAME.length()).trim().split(" +")[0])
+                .filter(value -> value.matches("\\d{1,9}")).mapToInt(Integer::parseInt)
+                .findFirst().orElse(Integer.MAX_VALUE);
+    }
+}
--- a/src/main/java/cedarrelay/node/Main.java
+++ b/src/main/java/cedarrelay/node/Main.java
@@ -55,7 +55,7 @@
     private static Node start(Map<String, String> environment, EventLoopGroup group, EventLoop loop) {
         Node node;
         try {
-            node = new Node(Config.read(environment), loop);
+            node = new Node(Config.read(environment).within(Descriptors.limit()), loop);
         } catch (IllegalArgumentException e) {
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
             return null;
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -169,6 +169,9 @@
         ChannelFuture binding = clients.listen(group, config.listen());
         binding.addListener(done -> {
             if (done.isSuccess()) {
+                // Also because a first line needs files of the runtime: out of descriptors it would throw an
+                // Error, in the loop, where nothing but the log would catch it.
+                LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
                 takeList(ListKind.CACHED, config.known());
                 if (!config.settings().listOnRequest) {
                     discovery.subscribe();
--- /dev/null
+++ b/src/test/java/cedarrelay/node/DescriptorsTest.java
@@ -0,0 +1,40 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+
+/** What the system's table of limits is read as. */
+class DescriptorsTest {
+    private static int limit(String... lines) {
+        return Descriptors.limit(Stream.of(lines));
+    }
+
+    @Test
+    void theLimitThatHoldsIsTheFirstOfTheTwo() {
+        assertEquals(256, limit("Limit                     Soft Limit           Hard Limit           Units",
+                "Max processes             95                   95                   processes",
+                "Max open files            256                  4096                 files"));
+    }
+
+    @Test
+    void noLimitIsTheLargestNumber() {
+        assertEquals(Integer.MAX_VALUE, limit("Max open files            unlimited            unlimited  files"));
+        assertEquals(Integer.MAX_VALUE, limit("Max open files"));
+        assertEquals(Integer.MAX_VALUE, limit());
+    }
+
+    @Test
+    void theLowerLimitCounts() throws Exception {
+        try (FakePeer discovery = new FakePeer(FakePeer.SILENT)) {
+            Config config = Config.parse(Fixture.config(discovery).toString(), Map.of());
+            assertEquals(100, config.within(100).sockets());
+            assertEquals(config.sockets(), config.within(Integer.MAX_VALUE).sockets());
+        }
+        assertTrue(Descriptors.limit() > 0);
+    }
+}
--- a/src/test/java/cedarrelay/node/MainTest.java
+++ b/src/test/java/cedarrelay/node/MainTest.java
@@ -74,7 +74,8 @@
     }
 
     private String said() {
-        process.destroyForcibly();
+        // Not by the process itself, which would close what it has written so far.
+        process.toHandle().destroyForcibly();
         try {
             return new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         } catch (IOException e) {
@@ -173,7 +174,7 @@
     @Test
     void itSurvivesRunningOutOfDescriptors() throws Exception {
         // The configuration promises more than the system gives.
-        start(Fixture.config(discovery, server), "ulimit -n 100 && ");
+        Path file = start(Fixture.config(discovery, server), "ulimit -n 100 && ");
         // Classes are read from files here, which takes descriptors, and not from one open jar.
         try (Socket before = connect()) {
             FakePeer.write(before, Fixture.request("GET", "/view", 0, "", ""));
@@ -188,7 +189,11 @@
         FakePeer.write(asking, Fixture.request("GET", "/view", 1, "", ""));
         String answer = FakePeer.read(asking);
         assertTrue(answer != null && answer.startsWith("HTTP/1.1 "),
-                () -> "no answer while descriptors are short: " + said());
+                () -> answer + " while descriptors are short: " + said());
+        // A line in the log takes none either.
+        Files.writeString(file, "{");
+        hangUp();
+        awaitLine("stays as it was");
         for (Socket socket : many) {
             socket.close();
         }
