--- a/src/test/java/cedarrelay/node/DescriptorsTest.java
+++ b/src/test/java/cedarrelay/node/DescriptorsTest.java
@@ -23,7 +23,7 @@
 
     @Test
     void noLimitIsTheLargestNumber() {
-        assertEquals(Integer.MAX_VALUE, limit("Max open files            unlimited            unlimited  files"));
+        assertEquals(Integer.MAX_VALUE, limit("Max open files  unlimited  unlimited  files"));
         assertEquals(Integer.MAX_VALUE, limit("Max open files"));
         assertEquals(Integer.MAX_VALUE, limit());
     }
