What a server fails twice in a row of one class is kept from it for a while

A probe that logged why requests were given up: 304 of some 560 were add-photo with one attempt that timed out at its aim, all at the same four of ten servers, from 7.5 to 17.5 s; the same servers answered the other classes all the while. Ruled out by a probe of each reset: connections kept for too long. Resets came at any age of a connection, and as often on new ones, so they are of the request, and nothing the pool keeps or closes would save them.

Lines at fault: ServiceQBalancer.onOutcome takes a time-out of a server that has answered anything since for crowding, and so not for illness; and a time-out at the aim leaves no time to repeat what may be repeated.

Now failures in a row are counted by class: from the second on a server gets no more of that class for 0.5 s, doubled with each single try that fails, up to 4 s; never in more than half of the servers, those ejected among them. Where the last one failed, an attempt that may be repeated ends at half the time to its aim. An ejected server's trials are as before. serveWaiting keeps "no server has room" by class, since servers may now differ by class.

Two of the new tests fail without the change; two more hold its bounds.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -23,20 +23,17 @@
 
     /** How many times a drawn server that may not be sent to is drawn again before all are looked through. */
     private static final int REDRAWS = 3;
-    /** Power of a server's size in its weight: a large one that is as busy as a small one still answers
-     * sooner, so even work by size leaves the small ones too much. */
+    /** Power of a server's size in its weight: a large one as busy as a small one still answers sooner. */
     private static final double SIZE_POWER = 1.5;
     /** Share of a new answer in a server's pace. */
     private static final double PACE_GAIN = 0.3;
     /** A pace is forgotten in so many times the time in which a node asks each server once. */
     private static final double PACE_KEPT = 12;
-    /** Times left that differ by less than this share of the deadline are the same: the way from the
-     * client. */
+    /** Times left that differ by less than this share of the deadline are the same: the client's way. */
     private static final double USUAL_LEFT_WITHIN = 0.02;
-    /** From this share of a class's requests on a time left is the one of first tries: in a jam most are
-     * not. */
+    /** From this share of a class on a time left is the one of first tries: in a jam most are not. */
     private static final double USUAL_LEFT_AT = 0.2;
-    /** A probe is waited for during this share of the usual latency of a request's class. */
+    /** A probe is waited for during this share of a class's usual latency. */
     private static final double ASK_FOR = 0.25;
     /** Part of what comes late that asking both servers is expected to save: it is set against its price. */
     private static final double ASK_GAIN = 0.5;
@@ -44,11 +41,9 @@
     private static final double FAULTY = 0.1;
     /** A failure counts in the pace as an answer that took so many times the usual. */
     private static final double FAULT_PACE = 5;
-    /** Paces that differ by less are alike: so a server is tried again once its trouble is nearly
-     * forgotten. */
+    /** Paces that differ by less are alike: a server is tried again once its trouble is nearly forgotten. */
     private static final double PACE_ALIKE = 0.05;
-    /** Part of attempts answered in time under which a node throttles: lower than any overload alone
-     * brings. */
+    /** Part of attempts answered in time under which a node throttles: lower than overload alone brings. */
     private static final double THROTTLE_BELOW = 0.3;
     /** A throttled node sends what is answered in time so many times over: enough to come back in seconds. */
     private static final double THROTTLE = 2;
@@ -64,13 +59,11 @@
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean: about the last 32 answers. */
     private static final double MEAN_GAIN = 1.0 / 32;
-    /** Gap between answers that a node assumes before it has seen any: careful with cold servers, for most
-     * of a large fleet's nodes may have just started. */
+    /** Gap between answers assumed before any: most of a large fleet's nodes may have just started. */
     private static final double FIRST_GAP_US = 1_000_000;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
     private static final double FIRST_LIMIT = 4;
-    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance, and
-     * a server that is crowded up to its aim may already have turned slower. */
+    /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance. */
     private static final double CROWDED_AT = 0.35;
     /** Growth of a server's limit over all nodes for an answer in good time ... */
     private static final double LIMIT_STEP = 0.15;
@@ -78,18 +71,18 @@
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
-    /** The sum of the limits is a mean: so many of its roots pass on top, for a node with few requests has
-     * bursts that are no crowd (i9ce813: without it a node of many held requests while servers idled). */
+    /** The sum of the limits is a mean: so many of its roots pass on top, for bursts that are no crowd
+     * (i9ce813: without it a node of many held requests while servers idled). */
     private static final double BURST = 2.5;
     /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Power of the number of nodes with which step and cut grow: at 0 a node of many learns too slowly,
-     * at a half chance rules and limits swing into jams. */
+    /** Power of the number of nodes with which step and cut grow: at 0 a node of many learns too slowly, at
+     * a half limits swing into jams. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left to its aim is too late: in overload
-     * all that is served has waited up to this mark, and must have a good chance from there (i75e589) ... */
+    /** A waiting request with fewer of its class's usual latencies left is too late: in overload all that is
+     * served has waited up to this mark, and must have a good chance from there (i75e589) ... */
     private static final double TOO_LATE_AT = 2;
     /** ... but at most with this share of the aim left: while all servers are slow, some may still wait. */
     private static final double MOST_LATE_AT = 0.8;
@@ -99,7 +92,9 @@
     private static final int REMEMBERED = 16;
     /** Successes in a row that bring an ejected server back: one may be luck, three hardly if most fail. */
     private static final int TRIALS = 3;
-    /** First time without requests for an ejected server, and the longest; doubled with each failed trial. */
+    /** Failures in a row of one class from which on a server gets no more of that class for a while. */
+    private static final int CLASS_OUT_AT = 2;
+    /** First time without requests for an ejected server, and the longest; doubled by failed trials. */
     private static final long EJECT_US = 250_000;
     private static final long MOST_EJECT_US = 4_000_000;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
@@ -190,14 +185,20 @@
         int trialsWon;
         long answeredAt;
         long servedAt;
-        /** When this node last sent it something while it was cold, or learned that it started, and the
-         * part of a cold gap that must have passed since. */
+        /** By class: failures in a row, when it last served it, and until when it gets no more of it. */
+        final int[] misses;
+        final long[] heardAt;
+        final long[] outUntil;
+        /** When it was last sent to while cold, or began, and what part of a gap must have passed since. */
         long coldSentAt;
         double coldPhase;
 
-        Server(String id, double limit) {
+        Server(String id, double limit, int classes) {
             this.id = id;
             this.limit = limit;
+            misses = new int[classes];
+            heardAt = new long[classes];
+            outUntil = new long[classes];
         }
     }
 
@@ -296,7 +297,8 @@
             listed.clear();
         }
         for (ServerEntry entry : entries) {
-            Server server = byId.computeIfAbsent(entry.id(), id -> new Server(id, FIRST_LIMIT / set.nodes));
+            Server server = byId.computeIfAbsent(entry.id(),
+                    id -> new Server(id, FIRST_LIMIT / set.nodes, set.classes.size()));
             if (entry.state() == ServerState.GONE) {
                 listed.remove(server);
             } else if (!listed.contains(server)) {
@@ -305,6 +307,8 @@
             if (entry.startedAtUs() > server.startedAt) {
                 // A new process: what was counted against the old one says nothing of it.
                 restore(server);
+                Arrays.fill(server.misses, 0);
+                Arrays.fill(server.outUntil, 0);
                 server.startedAt = entry.startedAtUs();
                 // All nodes learn of a start at about the same time: they must not all send at once
                 // (icd7515).
@@ -443,8 +447,7 @@
         if (result == Result.OK) {
             succeeded(server);
         } else if (result != Result.CANCELLED && result != Result.MOOT) {
-            // A time-out of a server that has answered since tells of crowding, not of silence, as being
-            // full does: the limit heeds it.
+            // A time-out of a server that has answered since tells of crowding, as being full does.
             boolean crowded = result == Result.FULL
                     || result == Result.TIMEOUT && server.answeredAt >= call.sentAt[attempt];
             failed(server, !crowded);
@@ -453,6 +456,7 @@
                 learnPace(server, FAULT_PACE);
             }
         }
+        learnClass(call, attempt);
         if (result == Result.OK || result == Result.ERROR) {
             server.answeredAt = now;
         }
@@ -464,7 +468,7 @@
             boolean late = result != Result.OK || now > call.aimAt;
             lateShare += MEAN_GAIN * ((late ? 1 : 0) - lateShare);
             if (result == Result.OK || result == Result.TIMEOUT) {
-                // An error says nothing of crowding, nor does work that takes longer than its aim at best.
+                // An error says nothing of crowding, nor does work that takes longer than its aim.
                 double least = leastLatencyUs[call.request.classIndex()];
                 boolean longAtBest = least < Double.MAX_VALUE && outcome.latencyUs() < AT_BEST * least;
                 learnHealth(result != Result.OK ? 0
@@ -590,15 +594,44 @@
         }
     }
 
+    /**
+     * Exception, classes: a server may serve all but one class, and its answers to the others must not hide
+     * that. What failed {@link #CLASS_OUT_AT} times in a row is kept from it for a while, twice as long after
+     * each single try that fails; in no more than half of the servers, as with ejection.
+     */
+    private void learnClass(Call call, int attempt) {
+        Server server = call.servers[attempt];
+        int c = call.request.classIndex();
+        switch (call.results[attempt]) {
+            case OK -> server.heardAt[c] = now;
+            case ERROR, RESET -> server.misses[c]++;
+            case TIMEOUT -> server.misses[c] += server.heardAt[c] < call.sentAt[attempt] ? 1 : 0;
+            default -> { }
+        }
+        server.misses[c] = call.results[attempt] == Result.OK ? 0 : server.misses[c];
+        keepOut(server, c);
+    }
+
+    private void keepOut(Server server, int c) {
+        int more = server.misses[c] - CLASS_OUT_AT;
+        if (more >= 0 && !areMostOut(server, c)) {
+            server.outUntil[c] = now + Math.min(MOST_EJECT_US, 2 * EJECT_US << Math.min(more, REMEMBERED));
+        }
+    }
+
+    /** Whether with this server more than half would get none of a class. */
+    private boolean areMostOut(Server server, int c) {
+        return ready.length < 2 + 2 * Arrays.stream(ready)
+                .filter(s -> s != server && (s.ejected || now < s.outUntil[c])).count();
+    }
+
     private static int recentFailures(Server server) {
         return Integer.bitCount(server.history & (1 << REMEMBERED) - 1);
     }
 
     private void clearErrors(Server server) {
-        if (server.errors > 0) {
-            server.errors = 0;
-            weightsStale = true;
-        }
+        weightsStale |= server.errors > 0;
+        server.errors = 0;
     }
 
     // ---------------------------------------------------------------- ejection
@@ -617,6 +650,11 @@
             server.ejected = true;
             server.ejectedForUs = EJECT_US / 2;
             log("ejected server " + server.id + " after " + recentFailures(server) + " failures");
+            for (int c = 0; c < answers.length; c++) {
+                for (int i = 0; i < ready.length && areMostOut(server, c); i++) {
+                    ready[i].outUntil[c] = 0;
+                }
+            }
         }
         server.ejectedForUs = Math.min(MOST_EJECT_US, 2 * server.ejectedForUs);
         server.trialAt = now + server.ejectedForUs / 2 + random.nextLong(server.ejectedForUs);
@@ -632,10 +670,11 @@
         server.limit = FIRST_LIMIT / set.nodes;
     }
 
-    /** An ejected server that is due for a trial with this repeatable request, or null. */
+    /** An ejected server that is due for a trial with this request, if it is repeatable, or null. */
     private Server trial(Call call) {
         for (Server server : ready) {
-            if (server.ejected && now >= server.trialAt && server.inFlight == 0 && isAllowed(call, server)) {
+            if (server.ejected && call.cls.repeat() != Repeat.UNSAFE && now >= server.trialAt
+                    && server.inFlight == 0 && isAllowed(call, server)) {
                 return server;
             }
         }
@@ -649,8 +688,8 @@
     private Server lastResort(Call call) {
         Server best = null;
         for (Server server : ready) {
-            if (server.ejected && now < server.servedAt + MOST_EJECT_US && !isAtLimit(server)
-                    && isAllowed(call, server)
+            if (server.ejected && call.cls.repeat() != Repeat.UNSAFE && !isAtLimit(server)
+                    && now < server.servedAt + MOST_EJECT_US && isAllowed(call, server)
                     && (best == null || recentFailures(server) < recentFailures(best))) {
                 best = server;
             }
@@ -688,13 +727,9 @@
 
     /** Two draws by weight; the one with fewer own requests in flight, ties at random. */
     private Server drawForFirstTry(Call call) {
-        boolean mayTryEjected = ejectedServers > 0 && call.cls.repeat() != Repeat.UNSAFE;
-        Server due = mayTryEjected ? trial(call) : null;
-        if (due != null) {
-            return due;
-        }
-        Server server = drawByZone(call);
-        return server == null && mayTryEjected ? lastResort(call) : server;
+        Server due = trial(call);
+        Server server = due == null ? drawByZone(call) : due;
+        return server == null ? lastResort(call) : server;
     }
 
     /**
@@ -705,7 +740,7 @@
     private boolean ask(Call call) {
         double usual = latencyUs[call.request.classIndex()];
         long waitUs = Math.max(3 * set.tickUs, (long) (ASK_FOR * usual));
-        if (!set.probes || set.nodes <= ready.length || usual == 0 || ejectedServers > 0 && trialDue(call)
+        if (!set.probes || set.nodes <= ready.length || usual == 0 || trial(call) != null
                 || call.aimAt - now < 2 * waitUs
                 || call.worth / usualWorth * lateShare * ASK_GAIN < 2 * set.probePrice) {
             return false;
@@ -725,10 +760,6 @@
         return true;
     }
 
-    private boolean trialDue(Call call) {
-        return call.cls.repeat() != Repeat.UNSAFE && trial(call) != null;
-    }
-
     private void probe(Server server, Call call) {
         // What has been decided without this server's answer must not pile up should the answer get lost.
         server.askers.removeIf(c -> !c.asking);
@@ -755,8 +786,8 @@
         if (nearby == everywhere) {
             return server;
         }
-        // Exception, zones: where crossing costs, both draws are local, and two more from all servers win
-        // only if the local choice is crowded, fails, or has at least two requests more in flight.
+        // Exception, zones: where crossing costs, both draws are local, and two more from all win only if
+        // the local choice is crowded, fails, or has at least two requests more in flight.
         if (server != null && server.inFlight < SPILL_AT && server.errors == 0) {
             return server;
         }
@@ -890,8 +921,7 @@
             return;
         }
         int kept = 0;
-        boolean full = false;
-        boolean fullForUnsafe = false;
+        boolean[] full = new boolean[set.classes.size()];
         boolean unsorted = false;
         for (int i = 0; i < waiting.size(); i++) {
             Call call = waiting.get(i);
@@ -913,16 +943,15 @@
                 waiting.set(kept++, call);
                 continue;
             }
-            boolean unsafe = call.cls.repeat() == Repeat.UNSAFE;
-            Server server = full || unsafe && fullForUnsafe ? null : drawForFirstTry(call);
+            int c = call.request.classIndex();
+            Server server = full[c] ? null : drawForFirstTry(call);
             if (server != null) {
                 call.waiting = false;
                 send(call, server);
             } else {
-                // What has not been sent may go anywhere, but for unsafe requests and ejected servers: if
-                // it finds no server, nor does the next one.
-                fullForUnsafe |= call.attempts == 0;
-                full |= call.attempts == 0 && !unsafe;
+                // What has not been sent may go wherever its class may: if it finds no server, nor does
+                // the next one.
+                full[c] |= call.attempts == 0;
                 waiting.set(kept++, call);
             }
         }
@@ -1007,9 +1036,8 @@
         if (isThrottled()) {
             return true;
         }
-        // The sum guards against a stall: what many nodes may each have at every server is then out at
-        // once. A burst's room shrinks with health, none at half: a fleet in overload tips over by bursts
-        // (i6d5d9b).
+        // The sum guards against a stall, when all that nodes may have at servers is out at once. A burst's
+        // room shrinks with health, none at half: a fleet in overload tips over by bursts (i6d5d9b).
         double burst = BURST * Math.max(0, 2 * health - 1) * Math.sqrt(limits);
         if (isAtLimit(server) || inFlight > 0 && inFlight + 1 > limits + burst) {
             server.wantedAt = now;
@@ -1020,9 +1048,8 @@
 
     /**
      * Exception, throttling: once under {@link #THROTTLE_BELOW} of attempts are answered in time, a node
-     * sends {@link #THROTTLE} times what is answered in time, and a little to see whether that still
-     * holds: a fleet that has turned slow under its load recovers only if nearly nothing comes (i6d5d9b,
-     * ia25714).
+     * sends {@link #THROTTLE} times what is, and a little to see whether that still holds: a fleet that has
+     * turned slow under its load recovers only if nearly nothing comes (i6d5d9b, ia25714).
      */
     private boolean isThrottled() {
         return health < THROTTLE_BELOW && sendTokens < 1;
@@ -1053,18 +1080,30 @@
             server.coldSentAt = now;
             server.coldPhase = 1;
         }
-        out.send(call.request.id(), server.id, attemptEnd(call));
+        long end = attemptEnd(call);
+        if (server.misses[call.request.classIndex()] > 0) {
+            keepOut(server, call.request.classIndex());
+            end = Math.min(end, doubtfulEnd(call));
+        }
+        out.send(call.request.id(), server.id, end);
     }
 
     /**
-     * Until when an attempt may run. Exception, time-out at the aim: where a late answer earns nothing and
-     * a failure does not bring the client back, an attempt past its aim only keeps its server from others.
+     * Exception, time-out at the aim: where a late answer earns nothing and a failure does not bring the
+     * client back, an attempt past its aim only keeps its server from others.
      */
     private long attemptEnd(Call call) {
         return call.cls.lateWorth() > 0 || clientRepeats(call.cls) || call.cls.stream()
                 ? call.deadlineAt : call.aimAt;
     }
 
+    /** Where a class has just failed, time is left for another server to repeat what can be repeated. */
+    private long doubtfulEnd(Call call) {
+        long half = (call.aimAt - now) / 2;
+        return call.cls.repeat() == Repeat.UNSAFE || half <= 0 ? Long.MAX_VALUE
+                : now + Math.max(half, (long) (TOO_LATE_AT * latencyUs[call.request.classIndex()]));
+    }
+
     /** Whether clients come back after a failure too, and not only when told that it does no harm. */
     private static boolean clientRepeats(RequestClass cls) {
         return cls.repeat() == Repeat.SAFE || cls.repeat() == Repeat.KEYED && cls.group() == Group.ALL;
@@ -1122,7 +1161,8 @@
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
     private boolean maySend(Call call, Server server) {
-        return !server.ejected && !isCrowded(server) && isAllowed(call, server);
+        return !server.ejected && now >= server.outUntil[call.request.classIndex()] && !isCrowded(server)
+                && isAllowed(call, server);
     }
 
     private boolean isAllowed(Call call, Server server) {
@@ -1144,11 +1184,9 @@
 
     /**
      * Exception, slow start (rule 4): the unit is a cold server's part, by the list's sizes, of what this
-     * node gets answered, times the share of its capacity that it has at least. All nodes together may
-     * send so many units as the rule's multiple; each spends half of that, spaced so that no burst spends
-     * it at once, the first one after a random part of the space. Its limit keeps a server that is slow
-     * besides below even that. Arrivals would not do as the measure: in a jam, clients' retries multiply
-     * them.
+     * node gets answered (of what arrives clients' retries make too much in a jam), times the share of its
+     * capacity that it has at least. All nodes together may send so many units as the rule's multiple; each
+     * spends half of that, evenly spaced, the first after a random part of the space.
      */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
--- a/src/test/java/cedarrelay/HealthTest.java
+++ b/src/test/java/cedarrelay/HealthTest.java
@@ -75,6 +75,80 @@
         assertTrue(servers.subList(20, 30).contains("s0"), servers.toString());
     }
 
+    /** Sends one request; {@code s0} leaves the class without any answer, all else is served. */
+    private static boolean missedBy(Node node, int silentFor, int classIndex) {
+        long id = node.ask(classIndex);
+        boolean missed = node.last(id).server().equals("s0") && classIndex == silentFor;
+        if (missed) {
+            // The others go on being answered meanwhile.
+            node.serve(Node.SAFE, Result.OK, 5_000);
+            node.answer(id, Result.TIMEOUT, node.last(id).untilUs() - node.now);
+        }
+        if (node.attempts(id) == (missed ? 2 : 1)) {
+            node.answer(id, Result.OK, 5_000);
+        }
+        return missed;
+    }
+
+    @Test
+    void aServerThatLeavesOneClassUnansweredGetsNearlyNothingOfItAndAllTheRest() {
+        for (int silentFor : new int[] {Node.KEYED_CELL, Node.UNSAFE}) {
+            Node node = new Node().with(4);
+            int missed = 0;
+            for (int i = 0; i < 4_000; i++) {
+                missed += missedBy(node, silentFor, i % 2 == 0 ? silentFor : Node.SAFE) ? 1 : 0;
+            }
+            assertTrue(missed >= 2 && missed <= 25, silentFor + " missed: " + missed);
+            assertTrue(node.sentTo("s0") > 100, "sent at all: " + node.sentTo("s0"));
+        }
+    }
+
+    @Test
+    void aClassThatAServerMissedIsRepeatedInTimeElsewhere() {
+        Node node = new Node().with(2);
+        int repeated = 0;
+        for (int i = 0; i < 4_000; i++) {
+            long id = node.ask(Node.KEYED_CELL);
+            long from = node.now;
+            if (node.last(id).server().equals("s0")) {
+                node.answer(id, Result.TIMEOUT, node.last(id).untilUs() - from);
+                repeated += node.attempts(id) == 2 && node.now - from <= 100_000 ? 1 : 0;
+            }
+            if (!node.failed.contains(id)) {
+                node.answer(id, Result.OK, 5_000);
+            }
+        }
+        assertTrue(repeated > 0, "none repeated in time");
+        assertTrue(node.failed.size() <= 3, "failed: " + node.failed.size());
+    }
+
+    @Test
+    void moreThanHalfOfTheServersAreNeverKeptFromAClass() {
+        Node node = new Node().with(4);
+        for (int i = 0; i < 400; i++) {
+            node.serve(Node.UNSAFE, Result.ERROR, 5_000);
+        }
+        int held = node.sent.size();
+        for (int i = 0; i < 2; i++) {
+            node.ask(Node.UNSAFE);
+        }
+        assertEquals(held + 2, node.sent.size());
+    }
+
+    @Test
+    void whatAServerWasKeptFromComesBackOnceItServesIt() {
+        Node node = new Node().with(4);
+        for (int i = 0; i < 400; i++) {
+            missedBy(node, Node.UNSAFE, Node.UNSAFE);
+        }
+        node.advance(8_000_000);
+        long before = node.sentTo("s0");
+        for (int i = 0; i < 400; i++) {
+            node.serve(Node.UNSAFE, Result.OK, 5_000);
+        }
+        assertTrue(node.sentTo("s0") - before > 40, "sent again: " + (node.sentTo("s0") - before));
+    }
+
     @Test
     void unsafeRequestsAreNotUsedForTrials() {
         Node node = withFailingServer();
