A request no longer spends its attempts at once on a server that has just turned it away

A probe of each request given up: 102 had four failed connects and 18 four turn-aways within 0.2 to 4 ms, all four at the same server. In a release of servers half of them were ejected or cold; the request found no other with room, and ServiceQBalancer.lastResort named the ejected server that refuses connections, again and again. Likewise serveWaiting drew a draining server right after it had turned the request away; passOn alone looks at what has been tried. Ruled out: throttling (health 0.8 to 0.99), and the time left.

Now a server is not tried again within the usual latency of the class from the last try of the request there, and an ejected server is a last resort only if not both of its last two outcomes failed. Such a request waits for room instead.

Both tests fail without the change (2 attempts at once, 144 sends to the ejected server).

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -43,7 +43,7 @@
     private static final double FAULT_PACE = 5;
     /** Paces that differ by less are alike: a server is tried again once its trouble is nearly forgotten. */
     private static final double PACE_ALIKE = 0.05;
-    /** Part of attempts answered in time under which a node throttles: lower than overload alone brings. */
+    /** Part of attempts answered in time under which a node throttles: less than in overload alone. */
     private static final double THROTTLE_BELOW = 0.3;
     /** A throttled node sends what is answered in time so many times over: enough to come back in seconds. */
     private static final double THROTTLE = 2;
@@ -55,9 +55,9 @@
     private static final double HEALTH_GAIN = 1.0 / 16;
     /** Most attempts that a throttled node saves up. */
     private static final double MOST_TOKENS = 3;
-    /** Shortest sweep over waiting requests; long against the cost of a sweep, short against any aim. */
+    /** Shortest sweep over waiting requests: long against its cost, short against any aim. */
     private static final long MIN_SWEEP_US = 5_000;
-    /** Share of a new value in a running mean: about the last 32 answers. */
+    /** Share of a new value in a running mean: about the last 32. */
     private static final double MEAN_GAIN = 1.0 / 32;
     /** Gap between answers assumed before any: most of a large fleet's nodes may have just started. */
     private static final double FIRST_GAP_US = 1_000_000;
@@ -71,30 +71,27 @@
     private static final double LIMIT_CUT = 0.1;
     /** Answers that take this many times the least mean of their class say so too, however far the aim is. */
     private static final double CROWDED_BY = 3;
-    /** The sum of the limits is a mean: so many of its roots pass on top, for bursts that are no crowd
-     * (i9ce813: without it a node of many held requests while servers idled). */
+    /** The sum of the limits is a mean: so many of its roots pass on top, for chance is no crowd. */
     private static final double BURST = 2.5;
-    /** Growth of that least mean with each answer, so that it follows a change of work: by half in 4,000. */
+    /** Growth of that least mean with each answer, so that it follows a change of work. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Power of the number of nodes with which step and cut grow: at 0 a node of many learns too slowly, at
-     * a half limits swing into jams. */
+    /** Power of the number of nodes with which both grow: at 0 many learn too slowly, at a half they jam. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
-    /** A waiting request with fewer of its class's usual latencies left is too late: in overload all that is
-     * served has waited up to this mark, and must have a good chance from there (i75e589) ... */
+    /** A waiting request with fewer usual latencies left is too late: in overload all wait that long, */
     private static final double TOO_LATE_AT = 2;
-    /** ... but at most with this share of the aim left: while all servers are slow, some may still wait. */
+    /** but at most with this share of the aim left: while all servers are slow, some may still wait. */
     private static final double MOST_LATE_AT = 0.8;
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
     private static final int EJECT_AT = 4;
-    /** Answers of a server that are remembered. */
     private static final int REMEMBERED = 16;
+    private static final int TWO_FAILED = 0b11;
     /** Successes in a row that bring an ejected server back: one may be luck, three hardly if most fail. */
     private static final int TRIALS = 3;
     /** Failures in a row of one class from which on a server gets no more of that class for a while. */
     private static final int CLASS_OUT_AT = 2;
-    /** First time without requests for an ejected server, and the longest; doubled by failed trials. */
+    /** First time without requests for an ejected server, and the longest; failed trials double it. */
     private static final long EJECT_US = 250_000;
     private static final long MOST_EJECT_US = 4_000_000;
     /** Own requests in flight from which on a local server is compared with those of other zones. */
@@ -682,13 +679,14 @@
     }
 
     /**
-     * An ejected server that served lately, for a repeatable request that no other server has room for, or
-     * null: in a crowded fleet half of a failing server's work is worth more than none.
+     * An ejected server that served lately and has not failed twice since, for a repeatable request that no
+     * other server has room for, or null: in a crowded fleet half of its work is worth more than none.
      */
     private Server lastResort(Call call) {
         Server best = null;
         for (Server server : ready) {
             if (server.ejected && call.cls.repeat() != Repeat.UNSAFE && !isAtLimit(server)
+                    && (server.history & TWO_FAILED) != TWO_FAILED && !hasJustTried(call, server)
                     && now < server.servedAt + MOST_EJECT_US && isAllowed(call, server)
                     && (best == null || recentFailures(server) < recentFailures(best))) {
                 best = server;
@@ -733,9 +731,9 @@
     }
 
     /**
-     * Exception, asking: where probes are allowed and nodes outnumber servers, so that own requests in
-     * flight tell nothing and what a node knows of a server is seconds old, both servers drawn are probed
-     * and the request goes to the one that answers first; if neither does soon, the draw decides as ever.
+     * Exception, asking: where probes are allowed and nodes outnumber servers, own requests in flight tell
+     * nothing: both servers drawn are probed, and the first to answer gets the request; if neither does
+     * soon, the draw decides as ever.
      */
     private boolean ask(Call call) {
         double usual = latencyUs[call.request.classIndex()];
@@ -761,8 +759,7 @@
     }
 
     private void probe(Server server, Call call) {
-        // What has been decided without this server's answer must not pile up should the answer get lost.
-        server.askers.removeIf(c -> !c.asking);
+        server.askers.removeIf(c -> !c.asking); // They must not pile up should the answer get lost.
         server.askers.add(call);
         if (!server.asked) {
             server.asked = true;
@@ -805,8 +802,7 @@
         if (first.inFlight > second.inFlight) {
             return second;
         }
-        // Exception, ties: a node among many has nothing in flight nearly everywhere, so a tie goes to the
-        // server whose answers were quicker for their class of late (i9ce813).
+        // Exception, ties: with little in flight a tie goes to the server that was quicker of late (i9ce813).
         double difference = pace(first) - pace(second);
         boolean toss = Math.abs(difference) < PACE_ALIKE;
         return (toss ? random.nextInt(2) == 0 : difference > 0) ? second : first;
@@ -824,7 +820,7 @@
         server.paceAt = now;
     }
 
-    /** One draw by weight among the servers that may be sent to, but for {@code except}; null if none may. */
+    /** One draw by weight among the servers that may be sent to, but for {@code except}, or null. */
     private Server draw(Call call, Pool from, Server except) {
         Server[] servers = from.servers;
         if (weightsStale) {
@@ -836,7 +832,7 @@
                 return server;
             }
         }
-        // Most are full: one pass, each server taking over with its share of the weight so far.
+        // Most are full: one pass, each server taking over by its share of the weight so far.
         Server drawn = null;
         double total = 0;
         for (Server server : servers) {
@@ -1074,7 +1070,6 @@
         call.outstanding++;
         server.inFlight++;
         inFlight += isCounted(server) ? 1 : 0;
-        // Gaps are counted from the first request on, not from the start of the clock.
         lastServedAt = lastServedAt == 0 ? now : lastServedAt;
         if (isCold(server)) {
             server.coldSentAt = now;
@@ -1088,10 +1083,7 @@
         out.send(call.request.id(), server.id, end);
     }
 
-    /**
-     * Exception, time-out at the aim: where a late answer earns nothing and a failure does not bring the
-     * client back, an attempt past its aim only keeps its server from others.
-     */
+    /** Exception, time-out at the aim: where a later answer earns nothing, it only keeps its server busy. */
     private long attemptEnd(Call call) {
         return call.cls.lateWorth() > 0 || clientRepeats(call.cls) || call.cls.stream()
                 ? call.deadlineAt : call.aimAt;
@@ -1161,8 +1153,18 @@
 
     /** Rules 2 to 4 for one server: the keyed group, the list's word, and a cold server's budget. */
     private boolean maySend(Call call, Server server) {
-        return !server.ejected && now >= server.outUntil[call.request.classIndex()] && !isCrowded(server)
-                && isAllowed(call, server);
+        return !server.ejected && now >= server.outUntil[call.request.classIndex()]
+                && !hasJustTried(call, server) && !isCrowded(server) && isAllowed(call, server);
+    }
+
+    /** Whether the request failed there so quickly that it would only use up its attempts at once. */
+    private boolean hasJustTried(Call call, Server server) {
+        for (int i = 0; i < call.attempts; i++) {
+            if (call.servers[i] == server && now < call.sentAt[i] + latencyUs[call.request.classIndex()]) {
+                return true;
+            }
+        }
+        return false;
     }
 
     private boolean isAllowed(Call call, Server server) {
--- a/src/test/java/cedarrelay/HealthTest.java
+++ b/src/test/java/cedarrelay/HealthTest.java
@@ -149,6 +149,43 @@
         assertTrue(node.sentTo("s0") - before > 40, "sent again: " + (node.sentTo("s0") - before));
     }
 
+    @Test
+    void aRequestDoesNotSpendItsAttemptsAtOnceOnAServerThatTurnsItAway() {
+        Node node = new Node().with(1);
+        for (int i = 0; i < 100; i++) {
+            node.serve(Node.SAFE, Result.OK, 10_000);
+        }
+        long id = node.ask(Node.SAFE);
+        node.answer(id, Result.FULL, 100);
+        assertEquals(1, node.attempts(id), "tried again at once");
+        node.advance(20_000);
+        assertEquals(2, node.attempts(id), "not tried again");
+        assertTrue(node.refused.isEmpty(), "given up");
+    }
+
+    @Test
+    void anEjectedServerThatTakesNoConnectionIsNoLastResort() {
+        Node node = new Node().with(2);
+        for (int i = 0; i < 4_000 && node.logged.isEmpty(); i++) {
+            long id = node.ask(Node.SAFE);
+            boolean bad = node.last(id).server().equals("s0") && i >= 200;
+            node.answer(id, bad ? Result.CONNECT_FAILED : Result.OK, 5_000);
+            if (bad && node.attempts(id) > 1) {
+                node.answer(id, Result.OK, 5_000);
+            }
+        }
+        assertEjected(node);
+        long before = node.sentTo("s0");
+        for (int i = 0; i < 40; i++) {
+            long id = node.ask(Node.SAFE);
+            for (int j = 0; j < 4 && node.last(id) != null && node.last(id).server().equals("s0"); j++) {
+                node.answer(id, Result.CONNECT_FAILED, 100);
+            }
+        }
+        assertTrue(node.sentTo("s0") - before <= 3, "sent to it: " + (node.sentTo("s0") - before));
+        assertTrue(node.refused.isEmpty(), "given up: " + node.refused.size());
+    }
+
     @Test
     void unsafeRequestsAreNotUsedForTrials() {
         Node node = withFailingServer();
