Only a failed connect bars an ejected server as a last resort

Resets hit one request in ten there at all servers alike; four or five of ten servers are ejected by chance, and two resets in a row barred each of them, which still serve nine in ten. What was found before were refused connections, so only a connect that failed last bars a server now.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -33,7 +33,7 @@
     private static final double USUAL_LEFT_WITHIN = 0.02;
     /** From this share of a class on a time left is the one of first tries: in a jam most are not. */
     private static final double USUAL_LEFT_AT = 0.2;
-    /** A probe is waited for during this share of a class's usual latency. */
+    /** A probe is waited for during this share of the usual latency. */
     private static final double ASK_FOR = 0.25;
     /** Part of what comes late that asking both servers is expected to save: it is set against its price. */
     private static final double ASK_GAIN = 0.5;
@@ -86,7 +86,6 @@
     /** Failures among a server's last {@link #REMEMBERED} answers from which on it is ejected. */
     private static final int EJECT_AT = 4;
     private static final int REMEMBERED = 16;
-    private static final int TWO_FAILED = 0b11;
     /** Successes in a row that bring an ejected server back: one may be luck, three hardly if most fail. */
     private static final int TRIALS = 3;
     /** Failures in a row of one class from which on a server gets no more of that class for a while. */
@@ -177,6 +176,7 @@
         long wantedAt;
         int history;
         boolean ejected;
+        boolean unreachable;
         long trialAt;
         long ejectedForUs;
         int trialsWon;
@@ -441,6 +441,7 @@
         call.outstanding--;
         server.inFlight--;
         inFlight -= isCounted(server) ? 1 : 0;
+        server.unreachable = result == Result.CONNECT_FAILED;
         if (result == Result.OK) {
             succeeded(server);
         } else if (result != Result.CANCELLED && result != Result.MOOT) {
@@ -513,7 +514,6 @@
             // No count and no ejection by probes: a jammed server drops them and still serves.
             learnPace(server, CROWDED_BY);
         } else {
-            // Three times as many probes as requests end: they tell sooner who is jammed.
             echoUs += meanGain(++echoes) * (tookUs - echoUs);
             learnPace(server, Math.min(FAULT_PACE, tookUs / echoUs));
         }
@@ -679,14 +679,14 @@
     }
 
     /**
-     * An ejected server that served lately and has not failed twice since, for a repeatable request that no
-     * other server has room for, or null: in a crowded fleet half of its work is worth more than none.
+     * An ejected server that served lately and takes connections, for a repeatable request that no other
+     * server has room for, or null: in a crowded fleet half of its work is worth more than none.
      */
     private Server lastResort(Call call) {
         Server best = null;
         for (Server server : ready) {
             if (server.ejected && call.cls.repeat() != Repeat.UNSAFE && !isAtLimit(server)
-                    && (server.history & TWO_FAILED) != TWO_FAILED && !hasJustTried(call, server)
+                    && !server.unreachable && !hasJustTried(call, server)
                     && now < server.servedAt + MOST_EJECT_US && isAllowed(call, server)
                     && (best == null || recentFailures(server) < recentFailures(best))) {
                 best = server;
