--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -51,8 +51,6 @@
     private static final double THROTTLE_FLOOR = 0.03;
     /** An answer inside so many times its class's least mean latency owes its length to the work. */
     private static final double AT_BEST = 1.5;
-    /** An answer so many times later than usual may never come. */
-    private static final double SILENT_AT = 3;
     /** Share of a new answer in the part answered in time. */
     private static final double HEALTH_GAIN = 1.0 / 16;
     /** Most attempts that a throttled node saves up. */
@@ -309,7 +307,8 @@
                 Arrays.fill(server.misses, 0);
                 Arrays.fill(server.outUntil, 0);
                 server.startedAt = entry.startedAtUs();
-                // All nodes learn of a start at about the same time: not all may send at once (icd7515).
+                // All nodes learn of a start at about the same time: they must not all send at once
+                // (icd7515).
                 server.coldSentAt = now;
                 server.coldPhase = random.nextDouble();
             }
@@ -398,8 +397,9 @@
     }
 
     /**
-     * How long a client has been asking before this try: nothing where repeats are marked and this is none.
-     * Else its time left tells: first tries of a class, the most by far, all have the same.
+     * How long a client has been asking before this try: nothing where clients mark their repeats and this
+     * one is not marked. Else its time left tells: first tries of a class, the most by far, all have the
+     * same, and later ones what is left of the deadline.
      */
     private long elapsedBefore(Request request) {
         if (set.marksRetry && !request.retry()) {
@@ -410,6 +410,7 @@
         boolean usual = Math.abs(request.leftUs() - usualLeftUs[c]) <= USUAL_LEFT_WITHIN * deadline;
         usualLeftShare[c] += meanGain(++asked[c]) * ((usual ? 1 : 0) - usualLeftShare[c]);
         if (!usual && usualLeftShare[c] < USUAL_LEFT_AT) {
+            // No time left is the usual one (yet), so it tells nothing.
             usualLeftUs[c] = request.leftUs();
             return 0;
         }
@@ -849,7 +850,7 @@
         return Math.min(last, found < 0 ? -1 - found : found + 1);
     }
 
-    /** The paper's weights, worked out anew only on a change. */
+    /** The paper's weights, worked out anew only when a count or the list has changed. */
     private void weigh() {
         int most = 0;
         for (Server server : ready) {
@@ -869,7 +870,10 @@
         }
     }
 
-    /** The paper's weight. Exception, sizes: it counts for each part of a server's size by the list. */
+    /**
+     * The paper's weight. Exception, sizes: servers are not alike, so it counts for each part of a server's
+     * size by the list; where all sizes are the same, nothing changes.
+     */
     private double weight(Server server) {
         return server.size * Math.ceil(largestEffect / (1 + server.errors));
     }
@@ -1071,10 +1075,12 @@
             server.coldSentAt = now;
             server.coldPhase = 1;
         }
-        int c = call.request.classIndex();
-        keepOut(server, c);
-        out.send(call.request.id(), server.id, Math.min(attemptEnd(call),
-                doubtfulEnd(call, server.misses[c] > 0 ? TOO_LATE_AT : SILENT_AT)));
+        long end = attemptEnd(call);
+        if (server.misses[call.request.classIndex()] > 0) {
+            keepOut(server, call.request.classIndex());
+            end = Math.min(end, doubtfulEnd(call));
+        }
+        out.send(call.request.id(), server.id, end);
     }
 
     /** Exception, time-out at the aim: where a later answer earns nothing, it only keeps its server busy. */
@@ -1083,17 +1089,11 @@
                 ? call.deadlineAt : call.aimAt;
     }
 
-    /**
-     * Exception, early repeats: what can be repeated is once its answer is so many usual latencies late that
-     * it may never come, if the aim leaves room for that and nothing waits for the servers it would go to.
-     */
-    private long doubtfulEnd(Call call, double latencies) {
-        int c = call.request.classIndex();
-        double usual = latencyUs[c];
-        double end = now + Math.max((call.aimAt - now) / 2, latencies * usual);
-        return call.cls.repeat() != Repeat.UNSAFE && answers[c] * MEAN_GAIN > 1 && waiting.isEmpty()
-                && call.attempts < set.maxAttempts && end + AT_BEST * usual < call.aimAt ? (long) end
-                : Long.MAX_VALUE;
+    /** Where a class has just failed, time is left for another server to repeat what can be repeated. */
+    private long doubtfulEnd(Call call) {
+        long half = (call.aimAt - now) / 2;
+        return call.cls.repeat() == Repeat.UNSAFE || half <= 0 ? Long.MAX_VALUE
+                : now + Math.max(half, (long) (TOO_LATE_AT * latencyUs[call.request.classIndex()]));
     }
 
     /** Whether clients come back after a failure too, and not only when told that it does no harm. */
@@ -1110,7 +1110,7 @@
             case KEYED -> call.binding() < 0 || call.cls.group() == Group.ALL;
             case UNSAFE -> call.binding() < 0;
         };
-        // A refusal calls back who would let a failure be: past the aim that is work for nothing.
+        // A refusal calls back a client who would let a failure be; past the aim that is work for nothing.
         if (harmless && (clientRepeats(call.cls) || !isWorthless(call))) {
             out.refuse(call.request.id(), set.maxRetryAfterUs);
         } else {
