A node that is behind with its sockets no longer takes its own delay for its servers'

A trace by 100 ms: the processor is at its full 0.50 for 1.2 to 2 s after ready, turns of the loop take 60 to 150 ms, attempts "time out", health falls to 0.13 within 0.3 s, limits from 20 to 5, four servers are ejected, and the module refuses 95% (all by throttling) until the code is warm. Servers saw no time-outs. Alone, with 630 requests a second, it never recovers: it works for clients that have left (taken 85, sent 101, answered 7 in 100 ms).

Ruled out: the node that is left while the other is away (lag 0, nothing refused, 15% of a core for 680 a second), cold servers and the list (10 of 10 ready and warm, none cold), crowding (78 connections of 96), SIGHUP (no watch lost). Start-up by flags: 0.38 s of the processor to listen, 0.6 for 100 rehearsed requests, 0.25 for each 200 after that; thresholds of the compiler, inlining, one compiler thread and others change it by less than the spread.

At fault: Node.Sent.ended (tookUs holds the loop's lag), ServerPool.giveUp (time-out before reading), ServiceQBalancer .onOutcome (learnHealth, failed, adaptLimit on it), Node.take (arrival is when read), ClientConnection.channelRead (sends on before the client's close is seen), 16 accepts a turn.

Now: Stall tells how far the loop is behind; outcomes and requests carry it, and the module learns from the rest only. A time-out reads its connection first. A request is taken after all that has come is read, and dropped if its client left.

--- a/src/main/java/cedarrelay/Balancer.java
+++ b/src/main/java/cedarrelay/Balancer.java
@@ -103,8 +103,16 @@
      * @param leftUs time until the client gives up on this try
      * @param workUs rough expected work on a standard core; 0 if not known
      * @param retry true if the client is known to repeat itself
+     * @param waitedUs how long it may have waited before the node could read it
      */
-    record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry) { }
+    record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
+            long waitedUs) {
+
+        /** Read as soon as it came. */
+        public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry) {
+            this(id, classIndex, tenant, leftUs, workUs, retry, 0);
+        }
+    }
 
     /** How an attempt or a probe ended. */
     enum Result {
@@ -143,9 +151,35 @@
      * @param requestEnded true if the request is over, by this outcome or before; else an answer is
      *     still owed
      * @param report the server's load report in the order of {@link Settings#reportFields}, or null
+     * @param stallUs how much of the latency the node may have added itself, because it was behind with its
+     *     sockets: that much says nothing of the server
      */
     record Outcome(long requestId, int attempt, Result result, long latencyUs, boolean requestEnded,
-            double[] report) { }
+            double[] report, long stallUs) {
+
+        /** By a node that keeps up. */
+        public Outcome(long requestId, int attempt, Result result, long latencyUs, boolean requestEnded,
+                double[] report) {
+            this(requestId, attempt, result, latencyUs, requestEnded, report, 0);
+        }
+
+        /** What of the latency is surely the server's. */
+        public long servedUs() {
+            return latencyUs - stallUs;
+        }
+
+        /** Whether the latency is mostly the node's own, so that nothing can be told by it. */
+        public boolean isStalled() {
+            return servedUs() < stallUs;
+        }
+
+        /** Whether it says anything of its server: a node that is behind runs out of time on answers that
+         * have come. One that stays behind finds a silent server only by what fails otherwise. */
+        public boolean isTelling() {
+            return result != Result.CANCELLED && result != Result.MOOT
+                    && (result != Result.TIMEOUT || !isStalled());
+        }
+    }
 
     /** Whether a request may run again. */
     enum Repeat {
--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -240,7 +240,7 @@
             arrivedAt = now;
             deadlineAt = now + Math.max(0, request.leftUs());
             aimUs = aim;
-            aimAt = Math.min(deadlineAt, now + aim - elapsedUs);
+            aimAt = Math.min(deadlineAt, now + aim - elapsedUs - request.waitedUs());
             servers = new Server[set.maxAttempts];
             sentAt = new long[set.maxAttempts];
             results = new Result[set.maxAttempts];
@@ -407,14 +407,15 @@
         }
         int c = request.classIndex();
         long deadline = set.classes.get(c).deadlineUs();
-        boolean usual = Math.abs(request.leftUs() - usualLeftUs[c]) <= USUAL_LEFT_WITHIN * deadline;
+        long leftUs = request.leftUs() + request.waitedUs();
+        boolean usual = Math.abs(leftUs - usualLeftUs[c]) <= USUAL_LEFT_WITHIN * deadline;
         usualLeftShare[c] += meanGain(++asked[c]) * ((usual ? 1 : 0) - usualLeftShare[c]);
         if (!usual && usualLeftShare[c] < USUAL_LEFT_AT) {
             // No time left is the usual one (yet), so it tells nothing.
-            usualLeftUs[c] = request.leftUs();
+            usualLeftUs[c] = leftUs;
             return 0;
         }
-        return usual ? 0 : Math.max(0, deadline - request.leftUs());
+        return usual ? 0 : Math.max(0, deadline - leftUs);
     }
 
     /** Share of the newest of so many values in a running mean: an even part until there are many. */
@@ -444,7 +445,7 @@
         server.unreachable = result == Result.CONNECT_FAILED;
         if (result == Result.OK) {
             succeeded(server);
-        } else if (result != Result.CANCELLED && result != Result.MOOT) {
+        } else if (outcome.isTelling()) {
             // A time-out of a server that has answered since tells of crowding, as being full does.
             boolean crowded = result == Result.FULL
                     || result == Result.TIMEOUT && server.answeredAt >= call.sentAt[attempt];
@@ -454,26 +455,25 @@
                 learnPace(server, FAULT_PACE);
             }
         }
-        learnClass(call, attempt);
         if (result == Result.OK || result == Result.ERROR) {
             server.answeredAt = now;
         }
-        double usual = latencyUs[call.request.classIndex()];
-        if ((result == Result.OK || result == Result.TIMEOUT) && usual > 0) {
-            learnPace(server, outcome.latencyUs() / usual);
-        }
-        if (result != Result.CANCELLED && result != Result.MOOT) {
-            boolean late = result != Result.OK || now > call.aimAt;
-            lateShare += MEAN_GAIN * ((late ? 1 : 0) - lateShare);
+        if (outcome.isTelling()) {
+            learnClass(call, attempt);
+            double usual = latencyUs[call.request.classIndex()];
+            if ((result == Result.OK || result == Result.TIMEOUT) && usual > 0) {
+                learnPace(server, outcome.servedUs() / usual);
+            }
+            boolean inTime = now - outcome.stallUs() <= call.aimAt;
+            lateShare += MEAN_GAIN * ((result != Result.OK || !inTime ? 1 : 0) - lateShare);
             if (result == Result.OK || result == Result.TIMEOUT) {
                 // An error says nothing of crowding, nor does work that takes longer than its aim.
                 double least = leastLatencyUs[call.request.classIndex()];
-                boolean longAtBest = least < Double.MAX_VALUE && outcome.latencyUs() < AT_BEST * least;
-                learnHealth(result != Result.OK ? 0
-                        : now <= call.aimAt || longAtBest ? 1 : call.cls.lateWorth());
+                boolean longAtBest = least < Double.MAX_VALUE && outcome.servedUs() < AT_BEST * least;
+                learnHealth(result != Result.OK ? 0 : inTime || longAtBest ? 1 : call.cls.lateWorth());
             }
+            adaptLimit(call, attempt, outcome);
         }
-        adaptLimit(call, attempt, outcome);
         if (outcome.requestEnded()) {
             end(call);
         } else if (!call.ended && call.outstanding == 0) {
@@ -995,15 +995,15 @@
         double before = server.limit;
         if (outcome.result() == Result.OK) {
             int c = call.request.classIndex();
-            latencyUs[c] += meanGain(++answers[c]) * (outcome.latencyUs() - latencyUs[c]);
+            latencyUs[c] += outcome.isStalled() ? 0
+                    : meanGain(++answers[c]) * (outcome.servedUs() - latencyUs[c]);
             // The first answers' mean is chance; until then the aim alone tells.
             leastLatencyUs[c] = answers[c] * MEAN_GAIN < 0.5 ? Double.MAX_VALUE
                     : Math.min(leastLatencyUs[c] * LEAST_DRIFT, latencyUs[c]);
-            double aim = call.aimUs;
-            double crowded = Math.min(CROWDED_AT * aim, CROWDED_BY * leastLatencyUs[c]);
+            double crowded = Math.min(CROWDED_AT * call.aimUs, CROWDED_BY * leastLatencyUs[c]);
             servedGapUs += meanGain(++servedCount) * (now - lastServedAt - servedGapUs);
             lastServedAt = now;
-            if (outcome.latencyUs() <= crowded) {
+            if (outcome.servedUs() <= crowded) {
                 // A cold server gets little and is quick with it: were its limit to pass the others', all
                 // nodes together would choke it as soon as slow start lets go (i3a094a).
                 server.limit += server.wantedAt >= call.sentAt[attempt]
--- a/src/main/java/cedarrelay/node/ClientConnection.java
+++ b/src/main/java/cedarrelay/node/ClientConnection.java
@@ -155,12 +155,13 @@
         }
         asked = true;
         server.heardFrom(this);
-        if (held != null || !ahead.isEmpty()) {
-            ahead.add(new Ahead(http, now, cost));
-            channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
-            return;
+        if (held == null && ahead.isEmpty()) {
+            // Not before all is read that has come: behind the request there may be the client's close. A
+            // node that is behind would else work mostly for clients that have left, and so stay behind.
+            channel.eventLoop().execute(this::takeAhead);
         }
-        take(http, now, cost);
+        ahead.add(new Ahead(http, now, cost));
+        channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
     }
 
     @Override
@@ -279,7 +280,8 @@
     }
 
     private void takeAhead() {
-        Ahead next = held == null && !ending ? ahead.poll() : null;
+        // One that has closed is told of only by a later task.
+        Ahead next = held == null && !ending && channel.isActive() ? ahead.poll() : null;
         if (next != null) {
             channel.config().setAutoRead(true);
             take(next.http, next.arrivedNs, next.cost);
--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -18,6 +18,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -26,6 +27,9 @@
 /** The client side as a whole: which connections are accepted, kept and closed. */
 final class ClientServer {
     private static final int BACKLOG = 1_024;
+    /** Connections accepted in one turn of the loop: with few, slow turns leave them waiting for several of
+     * them; but the count of sockets may pass its bound by as many. */
+    private static final int MOST_ACCEPTED = 32;
     private static final long ACCEPT_AGAIN_MS = 20;
     /** How long an idle connection is kept once there are many: some clients ask once and never close, and
      * what the others may open is spent by that. */
@@ -64,10 +68,14 @@
     /** Binds the address; the future tells whether it could be had. */
     ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
         ChannelFuture binding = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .option(ChannelOption.RECVBUF_ALLOCATOR,
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MOST_ACCEPTED))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        new AdaptiveRecvByteBufAllocator(512, 2_048, MOST_READ))
+                        // A second time, however little came: so the end behind a request is seen at once.
+                        new AdaptiveRecvByteBufAllocator(512, 2_048, MOST_READ).respectMaybeMoreData(false)
+                                .maxMessagesPerRead(2))
                 .handler(new AcceptGuard())
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
--- a/src/main/java/cedarrelay/node/Node.java
+++ b/src/main/java/cedarrelay/node/Node.java
@@ -59,6 +59,7 @@
     private final ServerPool pool;
     private final Discovery discovery;
     private final ClientServer clients;
+    private final Stall stall;
     private final long originNs = System.nanoTime();
     /** The clock starts at Unix time and then only follows the monotonic one, so that a list's boot times
      * always convert to the same value: a second one would look like a second start. */
@@ -116,6 +117,7 @@
         private final long untilUs;
         private ServerPool.Attempt attempt;
         private ScheduledFuture<?> timer;
+        private long stallUs;
         private boolean over;
 
         Sent(Held request, int number, long sentUs, long untilUs) {
@@ -127,6 +129,8 @@
 
         @Override
         public FullHttpRequest message() {
+            // Sent late for want of a connection: what the loop was behind by then is not the server's.
+            stallUs = Math.min(stall.us(), nowUs() - sentUs);
             return request.exchange.request().forServer(untilUs - nowUs());
         }
 
@@ -143,8 +147,9 @@
             }
             request.forgetIfDone();
             long tookUs = nowUs() - sentUs;
+            stallUs = Math.min(stallUs + stall.us(), tookUs);
             enter(request, () -> balancer.onOutcome(nowUs(),
-                    new Outcome(request.id, number, result, tookUs, request.over, null)));
+                    new Outcome(request.id, number, result, tookUs, request.over, null, stallUs)));
         }
     }
 
@@ -154,6 +159,7 @@
         this.loop = loop;
         config.settings().zones.forEach(z -> zones.put(z, zones.size()));
         balancer = new ServiceQBalancer(config.settings(), config.seed(), this);
+        stall = new Stall(loop);
         sockets = new Sockets(config.sockets());
         pool = new ServerPool(loop, sockets, config.settings().connectTimeoutUs, config.connIdleUs());
         clients = new ClientServer(loop, sockets, new ClientRequest.Reader(config.settings()), this::take);
@@ -172,6 +178,7 @@
                 // Also because a first line needs files of the runtime: out of descriptors it would throw an
                 // Error, in the loop, where nothing but the log would catch it.
                 LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
+                stall.watch();
                 takeList(ListKind.CACHED, config.known());
                 if (!config.settings().listOnRequest) {
                     discovery.subscribe();
@@ -209,6 +216,7 @@
             wake.cancel(false);
         }
         held.values().forEach(h -> h.guard.cancel(false));
+        stall.close();
         discovery.close();
         pool.close();
     }
@@ -283,7 +291,8 @@
             exchange.failed(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
             return;
         }
-        long arrivedUs = us(exchange.arrivedNs());
+        // The client's time has been running while a loop that was behind left the request unread.
+        long arrivedUs = Math.min(us(exchange.arrivedNs()), nowUs() - stall.us());
         long leftUs = request.remainingUs();
         Held taken = new Held(exchange,
                 arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART));
@@ -293,7 +302,8 @@
         enter(taken, () -> {
             long now = nowUs();
             balancer.onRequest(now, new Request(request.id(), request.classIndex(), request.tenant(),
-                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry()));
+                    Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry(),
+                    now - arrivedUs));
         });
     }
 
--- a/src/main/java/cedarrelay/node/ServerPool.java
+++ b/src/main/java/cedarrelay/node/ServerPool.java
@@ -95,6 +95,14 @@
                 return;
             }
             Connection used = connection;
+            if (result == Result.TIMEOUT) {
+                // A loop that is behind may run its timers before it reads what came in time: the system may
+                // hold the answer already. One that comes just now passes too: it is there to be had.
+                used.isQuiet();
+                if (over) {
+                    return;
+                }
+            }
             used.attempt = null;
             // Its answer may still come: the connection can't carry another request.
             used.channel.close();
--- a/src/test/java/cedarrelay/HealthTest.java
+++ b/src/test/java/cedarrelay/HealthTest.java
@@ -362,4 +362,41 @@
         }
         assertTrue(node.probed.isEmpty());
     }
+
+    /** Requests that end by time-out, of which the node may have added so much itself. */
+    private static Node afterTimeouts(long stallUs) {
+        Node node = new Node().with(4);
+        for (int i = 0; i < 60; i++) {
+            long id = node.ask(Node.UNSAFE);
+            Node.Sent attempt = node.last(id);
+            if (attempt != null) {
+                node.advance(200_000);
+                node.balancer.onOutcome(node.now, new Balancer.Outcome(id, attempt.attempt(), Result.TIMEOUT,
+                        200_000, false, null, stallUs));
+            }
+        }
+        return node;
+    }
+
+    @Test
+    void whatTheNodeItselfHeldUpSaysNothingOfItsServers() {
+        Node behind = afterTimeouts(150_000);
+        assertTrue(behind.logged.isEmpty(), behind.logged.toString());
+        assertEquals(60, behind.sent.size(), "held back");
+        // The same from servers that are silent ejects them and holds the rest back.
+        Node silent = afterTimeouts(0);
+        assertTrue(silent.logged.stream().anyMatch(l -> l.startsWith("ejected")), silent.logged.toString());
+        assertTrue(silent.sent.size() < 60, "all sent");
+    }
+
+    @Test
+    void timeThatARequestLayUnreadIsGoneFromItsAim() {
+        Node node = new Node().with(1);
+        node.balancer.onRequest(node.now, new Balancer.Request(1, Node.SAFE, 0, 900_000, 0, false, 200_000));
+        assertTrue(node.sent.isEmpty(), "past its aim and still sent");
+        assertEquals(1, node.refused.size());
+        node.balancer.onRequest(node.now, new Balancer.Request(2, Node.UNSAFE, 0, 900_000, 0, false,
+                150_000));
+        assertEquals(node.now + 50_000, node.last(2).untilUs());
+    }
 }
--- /dev/null
+++ b/src/test/java/cedarrelay/node/StallTest.java
@@ -0,0 +1,195 @@
+package cedarrelay.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+
+import cedarrelay.Balancer.Result;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpVersion;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A node whose event loop is behind with its sockets. */
+@Timeout(120)
+class StallTest {
+    private static final int STALL_MS = 500;
+    /** A beat and what the test's own threads take. */
+    private static final int SLACK_MS = 100;
+
+    private EventLoopGroup group;
+    private EventLoop loop;
+    private FakePeer discovery;
+    private FakePeer server;
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        discovery = new FakePeer(FakePeer.SILENT);
+        server = new FakePeer(FakePeer.answer("200 OK", "", "done"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        discovery.close();
+        server.close();
+    }
+
+    private int start() throws Exception {
+        Config config = Config.read(
+                Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, server)).toString()));
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        CountDownLatch ready = new CountDownLatch(1);
+        Channel channel = loop.submit(() -> node.start(group, 8, ready::countDown)).get().sync().channel();
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        return ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    /** Keeps the loop from everything until the latch opens, and for some time after. */
+    private void stall(CountDownLatch until, int thenMs) throws Exception {
+        CountDownLatch begun = new CountDownLatch(1);
+        loop.execute(() -> {
+            begun.countDown();
+            await(until);
+            park(thenMs);
+        });
+        await(begun);
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            assertTrue(latch.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "nothing came");
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    private static void park(int ms) {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(ms);
+        while (System.nanoTime() - end < 0) {
+            LockSupport.parkNanos(end - System.nanoTime());
+        }
+    }
+
+    private static Socket connect(int port) throws Exception {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        return socket;
+    }
+
+    private static String view(int id) {
+        return Fixture.request("GET", "/view/1", id, "", "");
+    }
+
+    @Test
+    void anAnswerThatHasComeCountsThoughTheTimeIsUp() throws Exception {
+        CountDownLatch answered = new CountDownLatch(1);
+        server.script((socket, request) -> {
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+            answered.countDown();
+        });
+        ServerPool pool = loop.submit(() ->
+                new ServerPool(loop, new Sockets(1_024), 2_000_000, 60_000_000)).get();
+        loop.submit(() -> pool.update(ServerList.parse(Fixture.list(1, true, "Ready", server)))).get();
+        LinkedBlockingQueue<Result> results = new LinkedBlockingQueue<>();
+        ServerPool.Caller caller = new ServerPool.Caller() {
+            @Override
+            public FullHttpRequest message() {
+                return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x",
+                        Unpooled.EMPTY_BUFFER);
+            }
+
+            @Override
+            public void ended(Result result, Answer answer) {
+                results.add(result);
+            }
+        };
+        String id = "s-" + server.port();
+        loop.submit(() -> pool.start(id, caller)).get();
+        assertEquals(Result.OK, FakePeer.soon(results));
+        // The second goes out on the first one's connection, and nothing is read until its time is up.
+        CountDownLatch again = new CountDownLatch(1);
+        server.script((socket, request) -> {
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+            again.countDown();
+        });
+        loop.submit(() -> {
+            ServerPool.Attempt attempt = pool.start(id, caller);
+            await(again);
+            attempt.giveUp(Result.TIMEOUT);
+        }).get();
+        assertEquals(Result.OK, FakePeer.soon(results));
+        loop.submit(pool::close).get();
+    }
+
+    @Test
+    void aRequestWhoseClientHasLeftMeanwhileIsNotSentOn() throws Exception {
+        int port = start();
+        CountDownLatch left = new CountDownLatch(1);
+        try (Socket kept = connect(port)) {
+            // Accepted and heard from before, so that both requests are read in the turn after the stall.
+            FakePeer.write(kept, view(1));
+            FakePeer.read(kept);
+            server.nextRequest();
+            try (Socket leaves = connect(port)) {
+                FakePeer.write(leaves, view(2));
+                FakePeer.read(leaves);
+                server.nextRequest();
+                stall(left, 0);
+                FakePeer.write(leaves, view(3));
+            }
+            left.countDown();
+            FakePeer.write(kept, view(4));
+            assertTrue(FakePeer.read(kept).startsWith("HTTP/1.1 200 "));
+            FakePeer.write(kept, view(5));
+            assertTrue(FakePeer.read(kept).startsWith("HTTP/1.1 200 "));
+        }
+        assertEquals("0000000000000004", FakePeer.header(server.nextRequest(), "X-Txn"));
+        assertEquals("0000000000000005", FakePeer.header(server.nextRequest(), "X-Txn"));
+        assertTrue(server.requests.isEmpty(), "sent on for nobody");
+    }
+
+    @Test
+    void theClientsTimeRunsWhileItsRequestLiesUnread() throws Exception {
+        int port = start();
+        CountDownLatch sent = new CountDownLatch(1);
+        try (Socket client = connect(port)) {
+            stall(sent, STALL_MS);
+            FakePeer.write(client, view(1));
+            sent.countDown();
+            FakePeer.read(client);
+        }
+        int left = Integer.parseInt(FakePeer.header(server.nextRequest(), "X-Remaining-Ms"));
+        assertTrue(left <= Fixture.REMAINING_MS - STALL_MS + SLACK_MS, "waits for " + left);
+    }
+
+    @Test
+    void aLoopThatWasHeldUpSaysForHowLong() throws Exception {
+        Stall stall = new Stall(loop);
+        loop.submit(stall::watch).get();
+        stall(new CountDownLatch(0), STALL_MS);
+        // In the turn after: what came during the stall is read then.
+        long us = loop.submit(stall::us).get();
+        assertTrue(us >= TimeUnit.MILLISECONDS.toMicros(STALL_MS - SLACK_MS), us + " us");
+        loop.submit(stall::close).get();
+    }
+}
