Requests of a rehearsal that was cut short are known as such for good

The rehearsal ends after 1.5 s at the latest, with requests of it still on their way; ClientServer.setReady then forgot the token by which they are known. Now the token stays: whatever comes with it is answered on the spot. The test failed without the change (passed on to the server).

--- a/src/main/java/cedarrelay/node/ClientServer.java
+++ b/src/main/java/cedarrelay/node/ClientServer.java
@@ -100,14 +100,14 @@
         }
     }
 
-    /** Requests with this token are part of the rehearsal and answered here. */
+    /** Requests with this token are part of the rehearsal and answered here, also those that one cut short
+     * has left on the way: no server may be sent them. */
     void setRehearsal(String token) {
         rehearsal = token;
     }
 
     /** From now on {@code /ready} says so; the rehearsal is over. */
     void setReady() {
-        rehearsal = null;
         ready = true;
     }
 
--- a/src/test/java/cedarrelay/node/NodeTest.java
+++ b/src/test/java/cedarrelay/node/NodeTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -104,6 +105,17 @@
         assertEquals(200, status(ask("GET /ready HTTP/1.1\r\n\r\n")));
     }
 
+    @Test
+    void aRehearsedRequestThatComesAfterTheRehearsalReachesNoServer() throws Exception {
+        start(first);
+        JsonObject json = Fixture.config(discovery, first);
+        String token = Long.toHexString(
+                new SplittableRandom(Long.parseUnsignedLong(json.get("seed").getAsString(), 16)).nextLong());
+        String header = Rehearsal.HEADER + ": " + token + "\r\n";
+        assertTrue(ask(Fixture.request("GET", "/view/1", 98, header, "")).contains("rehearsed"));
+        assertTrue(first.requests.isEmpty(), "sent on");
+    }
+
     @Test
     void requestsSentAheadAreAnsweredInOrder() throws Exception {
         first.script((socket, request) -> {
