On a node that is behind, what can't be answered in time is refused when it is read

At fault: ServiceQBalancer.onRequest (only the wait until now counted, not the one that the answer will have), adaptLimit (a choice of outcomes that depends on their latency). Now half of what a request has waited is expected again for its answer, and latencies are learnt only while the loop keeps up. Harm: after one long pause, requests with short aims that could have been answered in time are refused.

--- a/src/main/java/cedarrelay/ServiceQBalancer.java
+++ b/src/main/java/cedarrelay/ServiceQBalancer.java
@@ -103,14 +103,12 @@
     private static final long LIST_BACKOFF_US = 250_000;
 
     private static final Comparator<Call> BY_VALUE = Comparator.comparingDouble(call -> -call.value);
-
     private final Settings set;
     private final Actions out;
     private final SplittableRandom random;
     private final long sweepUs;
     private final double limitStep;
     private final double limitCut;
-
     private final Map<String, Server> byId = new HashMap<>();
     private final List<Server> listed = new ArrayList<>();
     private Server[] ready = new Server[0];
@@ -122,11 +120,9 @@
     private double totalWeight;
     private int ejectedServers;
     private long logFreeAt;
-
     private final Map<Long, Call> calls = new HashMap<>();
     private final ArrayList<Call> waiting = new ArrayList<>();
     private final PriorityQueue<Call> asking = new PriorityQueue<>(Comparator.comparingLong(c -> c.decideAt));
-
     private long now;
     private long wakePending = Long.MAX_VALUE;
     private long lastServedAt;
@@ -375,7 +371,10 @@
         // By first tries: in a jam clients' retries multiply what is asked.
         sendTokens = Math.min(MOST_TOKENS, sendTokens + (elapsedUs == 0 ? THROTTLE_FLOOR : 0));
         call.value = value(call);
-        if (isWorthless(call)) {
+        // On a node that is behind the answer will lie unread too: what can't be in time takes none of the
+        // processor from the rest. After a single pause that is too much.
+        if (isWorthless(call) || call.cls.lateWorth() == 0 && request.waitedUs() > sweepUs && call.aimAt - now
+                < request.waitedUs() / 2 + latencyUs[request.classIndex()]) {
             giveUp(call);
             return;
         }
@@ -995,7 +994,8 @@
         double before = server.limit;
         if (outcome.result() == Result.OK) {
             int c = call.request.classIndex();
-            latencyUs[c] += outcome.isStalled() ? 0
+            // By the stall alone: of the answers of a node that is behind only the slow ones are surely slow.
+            latencyUs[c] += outcome.stallUs() > sweepUs ? 0
                     : meanGain(++answers[c]) * (outcome.servedUs() - latencyUs[c]);
             // The first answers' mean is chance; until then the aim alone tells.
             leastLatencyUs[c] = answers[c] * MEAN_GAIN < 0.5 ? Double.MAX_VALUE
