Have the module tell what it has learned, and begin with what was known before

A node that starts knows nothing of which boxes are slow, silent or failing, though the node before it, and the one beside it, know a great deal.

The module gives what it knows of servers and classes as Knowledge, and takes such as a prior: where it has no answer of its own yet, for the same process of the server, one failure short of an ejection, cleared by the first success, limits believed as far as the answers that they rest on.

--- a/src/main/java/vetchpost/decision/Balancer.java
+++ b/src/main/java/vetchpost/decision/Balancer.java
@@ -42,6 +42,17 @@
     /** The time asked for with {@link Actions#wakeAt} has come. */
     void onWake(long nowUs);
 
+    /** What it has learned of these servers, as far as they are ready, and of the classes. */
+    default Knowledge knowledge(List<String> serverIds) {
+        return Knowledge.NONE;
+    }
+
+    /**
+     * What was known of servers and classes before the start, or to another node, as far as it is still
+     * believed. It counts only where nothing has been found out since, and outweighs nothing.
+     */
+    default void onPrior(long nowUs, Knowledge prior) { }
+
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
         /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
--- /dev/null
+++ b/src/main/java/vetchpost/decision/Memory.java
@@ -0,0 +1,99 @@
+package vetchpost.decision;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Knowledge.OfClass;
+import vetchpost.decision.Knowledge.OfServer;
+
+/**
+ * Turns what a node knows of servers into {@link Knowledge}, and such knowledge into a server's beginning.
+ */
+final class Memory {
+    private static final int REMEMBERED = 16;
+    /** With more, E = (1 + e)^1.5 would keep a server that has recovered from being drawn at all. */
+    private static final int MOST_ERRORS = 8;
+    /** A usual latency that others have found counts for no more answers than this. */
+    private static final int MOST_ANSWERS = 8;
+    /** Answers with which a limit is believed by half, and the bounds to what is believed. */
+    private static final double HALF_SURE = 4;
+    private static final double LEAST_LIMIT = 0.25;
+    private static final double MOST_LIMIT = 8;
+    /** The slowest pace that a module takes down itself. */
+    private static final double MOST_PACE = 5;
+    private static final double MOST_LATENCY_US = 3.6e9;
+
+    private Memory() { }
+
+    /** Of those of these servers that are ready; limits as multiples of the one that a server starts with. */
+    static List<OfServer> of(List<String> ids, Map<String, Server> byId, double firstLimit) {
+        List<OfServer> known = new ArrayList<>();
+        for (String id : ids) {
+            Server server = byId.get(id);
+            if (server == null || server.state != ServerState.READY) {
+                continue;
+            }
+            List<Integer> misses = new ArrayList<>(server.misses.length);
+            for (int count : server.misses) {
+                misses.add(count);
+            }
+            known.add(new OfServer(server.id, server.startedAt, server.answers, server.toldAt,
+                    server.servedAt, server.errors, Integer.bitCount(server.history & (1 << REMEMBERED) - 1),
+                    server.faults, server.pace, server.limit / firstLimit, server.ejected, misses));
+        }
+        return known;
+    }
+
+    /** Of all classes. */
+    static List<OfClass> of(int[] answers, double[] latencyUs, double[] leastUs) {
+        List<OfClass> known = new ArrayList<>();
+        for (int c = 0; c < answers.length; c++) {
+            known.add(new OfClass(c, answers[c], latencyUs[c], leastUs[c] < Double.MAX_VALUE ? leastUs[c]
+                    : 0));
+        }
+        return known;
+    }
+
+    /** Has classes of which nothing is known begin with what was usual. */
+    static void recall(List<OfClass> prior, int[] answers, double[] latencyUs) {
+        for (OfClass known : prior) {
+            int c = known.index();
+            if (c >= 0 && c < answers.length && answers[c] == 0 && known.answers() > 0
+                    && known.latencyUs() > 0 && known.latencyUs() < MOST_LATENCY_US) {
+                answers[c] = Math.min(MOST_ANSWERS, known.answers());
+                latencyUs[c] = known.latencyUs();
+            }
+        }
+    }
+
+    /**
+     * Has a server of which nothing is known begin with a prior. It is one failure short of what would eject
+     * it or keep a class from it at the worst: only answers of its own bring a verdict, and the first success
+     * clears its errors.
+     *
+     * @param ejectAt failures that eject
+     * @param classOutAt failures in a row that keep a class from it
+     */
+    static void recall(Server server, OfServer prior, int ejectAt, int classOutAt, long now) {
+        server.errors = Math.max(0, Math.min(MOST_ERRORS, prior.errors()));
+        int failures = Math.max(0, Math.min(ejectAt - 1, prior.failures()));
+        server.history = (1 << failures) - 1;
+        server.faults = within(prior.faults(), 0, 1);
+        server.pace = within(prior.pace(), 1 / MOST_PACE, MOST_PACE);
+        server.paceAt = now;
+        // As sure as the answers that it rests on are many; more of them than a giver can have had tell
+        // nothing.
+        double weight = prior.answers() / (prior.answers() + HALF_SURE);
+        server.limit *= 1 + within(weight, 0, 1) * (within(prior.limit(), LEAST_LIMIT, MOST_LIMIT) - 1);
+        for (int c = 0; c < Math.min(server.misses.length, prior.misses().size()); c++) {
+            server.misses[c] = Math.max(0, Math.min(classOutAt - 1, prior.misses().get(c)));
+        }
+    }
+
+    /** Not a number counts as the least. */
+    private static double within(double value, double least, double most) {
+        return value > least ? Math.min(most, value) : least;
+    }
+}
--- a/src/main/java/vetchpost/decision/Server.java
+++ b/src/main/java/vetchpost/decision/Server.java
@@ -37,6 +37,9 @@
     int trialsWon;
     long answeredAt;
     long servedAt;
+    /** Ended attempts that told something of it, since it started; and when the last of them ended. */
+    int answers;
+    long toldAt;
     /** By class: failures in a row, when it last served it, and until when it gets no more of it. */
     final int[] misses;
     final long[] heardAt;
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -244,6 +244,7 @@
             restore(server);
             Arrays.fill(server.misses, 0);
             Arrays.fill(server.outUntil, 0);
+            server.answers = 0;
             server.startedAt = entry.startedAtUs();
             // All nodes learn of a start at about the same time: they must not all send at once (icd7515).
             server.coldSentAt = now;
@@ -315,6 +316,29 @@
         }
     }
 
+    @Override
+    public Knowledge knowledge(List<String> ids) {
+        return new Knowledge(Memory.of(ids, byId, FIRST_LIMIT / set.nodes), Memory.of(answers, latencyUs,
+                leastLatencyUs), ready.size(), ejected.size(), health < THROTTLE_BELOW);
+    }
+
+    @Override
+    public void onPrior(long nowUs, Knowledge prior) {
+        now = nowUs;
+        for (Knowledge.OfServer known : prior.servers()) {
+            Server server = byId.get(known.id());
+            if (server != null && server.answers == 0 && known.startedAtUs() == server.startedAt) {
+                limits -= isCounted(server) ? server.limit : 0;
+                Memory.recall(server, known, EJECT_AT, CLASS_OUT_AT, now);
+                limits += isCounted(server) ? server.limit : 0;
+                settle(server);
+            }
+        }
+        Memory.recall(prior.classes(), answers, latencyUs);
+        serveWaiting();
+        scheduleWake();
+    }
+
     @Override
     public void onListFailed(long nowUs) {
         now = nowUs;
@@ -439,6 +463,8 @@
             server.answeredAt = now;
         }
         if (outcome.isTelling()) {
+            server.answers++;
+            server.toldAt = now;
             learnClass(call, attempt);
             double usual = latencyUs[call.request.classIndex()];
             if ((result == Result.OK || result == Result.TIMEOUT) && usual > 0) {
--- /dev/null
+++ b/src/test/java/vetchpost/decision/PriorTest.java
@@ -0,0 +1,181 @@
+package vetchpost.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import vetchpost.decision.Balancer.ListKind;
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.ServerEntry;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Knowledge.OfClass;
+import vetchpost.decision.Knowledge.OfServer;
+import org.junit.jupiter.api.Test;
+
+/** What a module learns can be taken down, and is a beginning for another, but never its verdict. */
+class PriorTest {
+    private static final List<Integer> NO_MISSES = List.of(0, 0, 0, 0, 0);
+
+    private static OfServer of(String id, int answers, int errors, int failures, double limit) {
+        return new OfServer(id, 0, answers, 1, 1, errors, failures, 0, 1, limit, false, NO_MISSES);
+    }
+
+    private static Knowledge prior(OfServer... servers) {
+        return new Knowledge(List.of(servers), List.of(), 0, 0, false);
+    }
+
+    private static int sentTo(Node node, String id) {
+        return (int) node.sent.stream().filter(s -> s.server().equals(id)).count();
+    }
+
+    /** Six ask at a time and are answered a little later. */
+    private static void serve(Node node, int requests, Result ofS0) {
+        for (int i = 0; i < requests; i += 6) {
+            node.advance(5_000);
+            int before = node.sent.size();
+            for (int j = 0; j < 6; j++) {
+                node.ask(Node.UNSAFE);
+            }
+            node.advance(2_000);
+            for (Node.Sent sent : List.copyOf(node.sent.subList(before, node.sent.size()))) {
+                node.answer(sent.request(), sent.server().equals("s0") ? ofS0 : Result.OK, 0);
+            }
+        }
+    }
+
+    @Test
+    void whatIsLearnedCanBeTakenDown() {
+        Node node = new Node().with(2);
+        // Of all classes in turn: one that only one class fails at is kept from that class alone.
+        for (int i = 0; i < 300; i++) {
+            node.advance(1_000);
+            long id = node.ask(i % 5);
+            for (int attempt = 0; attempt < node.attempts(id); attempt++) {
+                node.answer(id, node.last(id).server().equals("s0") ? Result.ERROR : Result.OK, 2_000);
+            }
+        }
+        Knowledge known = node.balancer.knowledge(List.of("s0", "s1", "nobody"));
+        assertEquals(2, known.servers().size());
+        assertEquals(2, known.ready());
+        assertEquals(1, known.ejected());
+        OfServer ill = known.servers().get(0);
+        assertTrue(ill.ejected(), ill.toString());
+        assertTrue(ill.errors() > 0 && ill.failures() >= 4 && ill.answers() >= 4, ill.toString());
+        assertEquals(0, ill.servedAtUs());
+        OfServer well = known.servers().get(1);
+        assertTrue(well.answers() > 0 && well.errors() == 0 && well.servedAtUs() > 0 && !well.ejected());
+        OfClass usual = known.classes().get(Node.UNSAFE);
+        assertEquals(2_000, usual.latencyUs(), 1);
+    }
+
+    @Test
+    void whoIsSaidToFailIsSentLessAndEjectedSooner() {
+        Node cold = new Node().with(6);
+        Node taught = new Node().with(6);
+        taught.balancer.onPrior(taught.now, prior(of("s0", 16, 6, 6, 1)));
+        for (Node node : List.of(cold, taught)) {
+            serve(node, 80, Result.ERROR);
+        }
+        assertTrue(sentTo(taught, "s0") < sentTo(cold, "s0"),
+                sentTo(taught, "s0") + " with a prior, " + sentTo(cold, "s0") + " without");
+        assertTrue(taught.balancer.knowledge(List.of("s0")).servers().get(0).failures() >= 1);
+    }
+
+    @Test
+    void aPriorEjectsNobodyAndItsFirstSuccessClearsIt() {
+        Node node = new Node().with(4);
+        node.balancer.onPrior(node.now, prior(of("s0", 1_000, 1_000_000, 16, 1)));
+        OfServer told = node.balancer.knowledge(List.of("s0")).servers().get(0);
+        assertFalse(told.ejected());
+        assertEquals(3, told.failures());
+        assertTrue(told.errors() <= 8);
+        serve(node, 200, Result.OK);
+        assertTrue(sentTo(node, "s0") > 20, sentTo(node, "s0") + " of 200: a false word lasted");
+        assertEquals(0, node.balancer.knowledge(List.of("s0")).servers().get(0).errors());
+    }
+
+    @Test
+    void ownAnswersOutweighAPrior() {
+        Node node = new Node().with(4);
+        serve(node, 40, Result.OK);
+        OfServer before = node.balancer.knowledge(List.of("s0")).servers().get(0);
+        assertTrue(before.answers() > 0);
+        node.balancer.onPrior(node.now, prior(of("s0", 1_000, 8, 3, 0.25)));
+        assertEquals(before, node.balancer.knowledge(List.of("s0")).servers().get(0));
+    }
+
+    @Test
+    void whatWasLearnedOfAnEarlierProcessIsVoid() {
+        Node node = new Node().list(ListKind.CACHED, List.of(
+                new ServerEntry("s0", 0, 0, ServerState.READY, 1, 500_000), Node.server("s1")));
+        node.balancer.onPrior(node.now, prior(of("s0", 100, 6, 3, 4), of("s1", 100, 6, 3, 4)));
+        List<OfServer> known = node.balancer.knowledge(List.of("s0", "s1")).servers();
+        assertEquals(0, known.get(0).errors(), "s0 has started since");
+        assertEquals(6, known.get(1).errors());
+    }
+
+    @Test
+    void aRestartVoidsAPriorThatWasTaken() {
+        Node node = new Node().with(2);
+        node.balancer.onPrior(node.now, prior(of("s0", 100, 6, 3, 4)));
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("s0", 0, 0, ServerState.READY, 1, node.now)));
+        OfServer known = node.balancer.knowledge(List.of("s0")).servers().get(0);
+        assertEquals(0, known.errors());
+        assertEquals(0, known.failures());
+        assertEquals(1, known.limit(), 1e-9);
+        assertEquals(0, known.answers());
+    }
+
+    @Test
+    void anUnsureServerBeginsWithOneRequestAtATime() {
+        Node node = new Node().with(2);
+        List<OfServer> unsure = new ArrayList<>();
+        unsure.add(of("s0", Integer.MAX_VALUE / 2, 0, 0, 0.01));
+        unsure.add(of("s1", Integer.MAX_VALUE / 2, 0, 0, 0.01));
+        node.balancer.onPrior(node.now, new Knowledge(unsure, List.of(), 0, 0, false));
+        for (int i = 0; i < 12; i++) {
+            node.ask(Node.SAFE);
+        }
+        assertTrue(sentTo(node, "s0") <= 2 && sentTo(node, "s1") <= 2, node.sent.toString());
+        assertTrue(node.sent.size() >= 2);
+        Node sure = new Node().with(2);
+        for (int i = 0; i < 12; i++) {
+            sure.ask(Node.SAFE);
+        }
+        assertTrue(sure.sent.size() > 2 * node.sent.size(), sure.sent.size() + " and " + node.sent.size());
+    }
+
+    @Test
+    void nonsenseIsBounded() {
+        Node node = new Node().with(3);
+        node.balancer.onPrior(node.now, new Knowledge(List.of(
+                new OfServer("s0", 0, Integer.MAX_VALUE, Long.MAX_VALUE, -5, Integer.MIN_VALUE,
+                        Integer.MAX_VALUE, Double.NaN, Double.POSITIVE_INFINITY, Double.NaN, true,
+                        List.of(-7, Integer.MAX_VALUE)),
+                new OfServer("s1", 0, -4, 0, 0, 3, -2, -1, Double.NEGATIVE_INFINITY, 1e300, true, List.of()),
+                of("s2", -4, 0, 0, Double.POSITIVE_INFINITY)),
+                List.of(new OfClass(-1, 5, 1, 1), new OfClass(99, 5, 1, 1),
+                        new OfClass(0, Integer.MAX_VALUE, Double.NaN, -1)), -1, 7, true));
+        serve(node, 600, Result.OK);
+        assertEquals(600, node.sent.size());
+        for (String id : List.of("s0", "s1", "s2")) {
+            assertTrue(sentTo(node, id) > 5, id + " was sent " + sentTo(node, id));
+            OfServer known = node.balancer.knowledge(List.of(id)).servers().get(0);
+            assertTrue(known.limit() > 0 && known.limit() < 100 && known.pace() > 0 && known.pace() <= 5,
+                    known.toString());
+        }
+    }
+
+    @Test
+    void aUsualLatencyCountsForFewAnswers() {
+        Node node = new Node().with(2);
+        node.balancer.onPrior(node.now, new Knowledge(List.of(), List.of(
+                new OfClass(Node.UNSAFE, 1_000_000, 50_000, 0)), 0, 0, false));
+        assertEquals(50_000, node.balancer.knowledge(List.of()).classes().get(Node.UNSAFE).latencyUs(), 1e-9);
+        serve(node, 60, Result.OK);
+        assertEquals(2_000, node.balancer.knowledge(List.of()).classes().get(Node.UNSAFE).latencyUs(), 6_000);
+    }
+}
