Decide what is believed of old knowledge, and keep it in a file of two generations

Package state decides without input or output: how certain a box is by its age, which ones are used at once, asked first or left to discovery, how strongly knowledge of its health counts, and whether its giver is too confused to be heard.

Tested by 10,000 corruptions of pieces and of files, each bit of a file turned, and a write stopped at each call to the system, 200 times each with the power lost, on a scripted disk that forgets what was not forced. The tests found that times in microseconds were taken for out of range.

--- /dev/null
+++ b/src/main/java/vetchpost/state/Doubt.java
@@ -0,0 +1,83 @@
+package vetchpost.state;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
+import vetchpost.decision.Knowledge;
+import vetchpost.decision.Knowledge.OfServer;
+
+/**
+ * Whether a node's knowledge of its boxes is worth taking: a confused one blames them for its own trouble, or
+ * for one that they share and that will have passed. The giver says what it knows of its own state, and the
+ * taker looks at what it gets, whatever the giver says. Who is there is told apart from how well they are: a
+ * confused node knows the former as well as any.
+ */
+public final class Doubt {
+    /** A node learns for so long before its knowledge is more than chance: as long as a box stays cold. */
+    static final long JUST_STARTED_MS = 20_000;
+    /** A loop this far behind has been at it for several beats. */
+    static final long STALLED_US = 100_000;
+    /** Failures among the last 16 from which on a box counts as ill; the module ejects at as many. */
+    private static final int ILL_FAILURES = 4;
+    /** Failures in a row that say the same. */
+    private static final int ILL_ERRORS = 3;
+
+    private Doubt() { }
+
+    /**
+     * What a node has to say of itself.
+     *
+     * @param stallUs how far its loop is behind
+     * @param upMs since when it runs
+     */
+    public static Set<Trouble> ofSelf(Knowledge knowledge, long stallUs, long upMs) {
+        EnumSet<Trouble> troubles = EnumSet.noneOf(Trouble.class);
+        if (knowledge.ready() > 0 && 2 * knowledge.ejected() >= knowledge.ready()) {
+            troubles.add(Trouble.MOST_ILL);
+        }
+        if (knowledge.throttled()) {
+            troubles.add(Trouble.THROTTLED);
+        }
+        if (stallUs >= STALLED_US) {
+            troubles.add(Trouble.STALLED);
+        }
+        if (upMs < JUST_STARTED_MS) {
+            troubles.add(Trouble.JUST_STARTED);
+        }
+        return troubles;
+    }
+
+    /** What speaks against a snapshot's word on how well its boxes are; empty if nothing does. */
+    public static Set<Trouble> of(Snapshot snapshot, long nowMs) {
+        EnumSet<Trouble> troubles = EnumSet.noneOf(Trouble.class);
+        troubles.addAll(snapshot.origin().troubles());
+        if (snapshot.origin().takenMs() > nowMs + Confidence.SKEW_MS
+                || snapshot.origin().startedMs() > snapshot.origin().takenMs() + Confidence.SKEW_MS) {
+            troubles.add(Trouble.FUTURE);
+        }
+        if (areMostIll(snapshot.boxes())) {
+            troubles.add(Trouble.MOST_ILL);
+        }
+        return troubles;
+    }
+
+    /** Were they believed, too few would be left: half of those of which anything is known, or more. */
+    private static boolean areMostIll(List<BoxState> boxes) {
+        int known = 0;
+        int ill = 0;
+        for (BoxState box : boxes) {
+            OfServer knowledge = box.knowledge();
+            if (knowledge != null && knowledge.answers() > 0) {
+                known++;
+                ill += isIll(knowledge) ? 1 : 0;
+            }
+        }
+        return ill > 0 && 2 * ill >= known;
+    }
+
+    static boolean isIll(OfServer knowledge) {
+        return knowledge.ejected() || knowledge.failures() >= ILL_FAILURES
+                || knowledge.errors() >= ILL_ERRORS;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/state/codec/PieceCodec.java
@@ -0,0 +1,343 @@
+package vetchpost.state.codec;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
+import vetchpost.core.ServerList.Target;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Knowledge.OfServer;
+import vetchpost.state.BoxState;
+import vetchpost.state.ClassState;
+import vetchpost.state.Confirmed;
+import vetchpost.state.Origin;
+import vetchpost.state.Snapshot;
+import vetchpost.state.Trouble;
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+
+/**
+ * Pieces of a snapshot as bytes: Protocol Buffers' wire format, by the schema in docs/state.md, so that
+ * fields of later versions are passed over. Each piece can be read on its own. What is read is bounded before
+ * it is allocated: a piece by its caller, all in it by the piece.
+ */
+public final class PieceCodec {
+    /** Raised where a reader of this version would misunderstand what is written. */
+    public static final int VERSION = 1;
+    /** Bytes of a piece at most, either way. */
+    public static final int MOST_BYTES = 64 * 1024;
+    /** Boxes in a piece as this writes it: under half of its bytes with names of usual lengths. */
+    public static final int BOXES = 100;
+
+    private static final int MOST_NAME = 256;
+    private static final int MOST_TROUBLES = 16;
+
+    // Fields of a piece.
+    private static final int P_VERSION = 1;
+    private static final int P_SNAPSHOT = 2;
+    private static final int P_NUMBER = 3;
+    private static final int P_PIECES = 4;
+    private static final int P_TAKEN = 5;
+    private static final int P_STARTED = 6;
+    private static final int P_REVISION = 7;
+    private static final int P_TROUBLE = 8;
+    private static final int P_CLASS = 9;
+    private static final int P_BOX = 10;
+
+    private PieceCodec() { }
+
+    /**
+     * A piece that has been read.
+     *
+     * @param number from 0
+     * @param pieces how many the snapshot has
+     * @param part the origin, which is in each, the classes, which are too, and this piece's boxes
+     */
+    public record Piece(int number, int pieces, Snapshot part) { }
+
+    /** How many pieces a snapshot of so many boxes takes. */
+    public static int pieces(int boxes) {
+        return Math.max(1, (boxes + BOXES - 1) / BOXES);
+    }
+
+    /** One piece. */
+    public static byte[] write(int number, int pieces, Origin origin, List<ClassState> classes,
+            List<BoxState> boxes) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(512 + 160 * boxes.size());
+        try {
+            CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+            out.writeUInt32(P_VERSION, VERSION);
+            out.writeFixed64(P_SNAPSHOT, origin.id());
+            out.writeUInt32(P_NUMBER, number);
+            out.writeUInt32(P_PIECES, pieces);
+            out.writeInt64(P_TAKEN, origin.takenMs());
+            out.writeInt64(P_STARTED, origin.startedMs());
+            out.writeInt64(P_REVISION, origin.revision());
+            for (Trouble trouble : origin.troubles()) {
+                out.writeUInt32(P_TROUBLE, trouble.ordinal());
+            }
+            for (ClassState state : classes) {
+                out.writeByteArray(P_CLASS, bytes(state));
+            }
+            for (BoxState box : boxes) {
+                out.writeByteArray(P_BOX, bytes(box));
+            }
+            out.flush();
+        } catch (IOException e) {
+            throw new UncheckedIOException("memory doesn't fail", e);
+        }
+        return bytes.toByteArray();
+    }
+
+    private static byte[] bytes(ClassState state) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes, 64);
+        out.writeString(1, state.name());
+        out.writeUInt32(2, state.answers());
+        out.writeDouble(3, state.latencyUs());
+        out.writeDouble(4, state.leastLatencyUs());
+        out.flush();
+        return bytes.toByteArray();
+    }
+
+    private static byte[] bytes(BoxState box) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream(160);
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes, 160);
+        Target target = box.target();
+        out.writeString(1, target.id());
+        out.writeByteArray(2, target.address().getAddress().getAddress());
+        out.writeUInt32(3, target.address().getPort());
+        out.writeString(4, target.zone());
+        out.writeSInt32(5, target.cell());
+        out.writeUInt32(6, target.state() == ServerState.DRAINING ? 1 : 0);
+        out.writeDouble(7, target.weight());
+        out.writeInt64(8, target.bootMs());
+        out.writeInt64(9, box.confirmedMs());
+        out.writeUInt32(10, box.by().ordinal());
+        OfServer known = box.knowledge();
+        if (known != null) {
+            out.writeInt64(11, box.knownMs());
+            out.writeUInt32(12, known.answers());
+            out.writeInt64(13, known.heardAtUs());
+            out.writeInt64(14, known.servedAtUs());
+            out.writeUInt32(15, known.errors());
+            out.writeUInt32(16, known.failures());
+            out.writeDouble(17, known.faults());
+            out.writeDouble(18, known.pace());
+            out.writeDouble(19, known.limit());
+            out.writeBool(20, known.ejected());
+            for (int count : known.misses()) {
+                out.writeUInt32(21, count);
+            }
+        }
+        out.flush();
+        return bytes.toByteArray();
+    }
+
+    // ---------------------------------------------------------------- reading
+
+    /**
+     * Reads a piece.
+     *
+     * @throws MalformedState if it is none, or of a newer version
+     */
+    public static Piece read(byte[] bytes) throws MalformedState {
+        if (bytes.length > MOST_BYTES) {
+            throw new MalformedState("a piece of " + bytes.length + " bytes; " + MOST_BYTES + " at most");
+        }
+        try {
+            return piece(CodedInputStream.newInstance(bytes));
+        } catch (IOException e) {
+            throw new MalformedState("not a piece of a snapshot: " + e.getMessage());
+        }
+    }
+
+    private static Piece piece(CodedInputStream in) throws IOException, MalformedState {
+        int version = 0;
+        long id = 0;
+        int number = -1;
+        int pieces = 0;
+        long taken = 0;
+        long started = 0;
+        long revision = 0;
+        Set<Trouble> troubles = EnumSet.noneOf(Trouble.class);
+        List<ClassState> classes = new ArrayList<>();
+        List<BoxState> boxes = new ArrayList<>();
+        int said = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (tag) {
+                case P_VERSION << 3 -> {
+                    version = in.readUInt32();
+                    if (version != VERSION) {
+                        // Nothing after it is looked at: it may mean something else there.
+                        throw new MalformedState("a snapshot of version " + Integer.toUnsignedString(version)
+                                + "; this program knows " + VERSION);
+                    }
+                }
+                case P_SNAPSHOT << 3 | 1 -> id = in.readFixed64();
+                case P_NUMBER << 3 -> number = in.readUInt32();
+                case P_PIECES << 3 -> pieces = in.readUInt32();
+                case P_TAKEN << 3 -> taken = in.readInt64();
+                case P_STARTED << 3 -> started = in.readInt64();
+                case P_REVISION << 3 -> revision = in.readInt64();
+                case P_TROUBLE << 3 -> {
+                    int trouble = in.readUInt32();
+                    check(++said <= MOST_TROUBLES, "too many troubles");
+                    // One that this version doesn't know is still a trouble.
+                    troubles.add(trouble >= 0 && trouble < Trouble.values().length
+                            ? Trouble.values()[trouble] : Trouble.MOST_ILL);
+                }
+                case P_CLASS << 3 | 2 -> {
+                    check(classes.size() < Snapshot.MOST_CLASSES, "too many classes");
+                    int limit = in.pushLimit(in.readRawVarint32());
+                    classes.add(cls(in));
+                    in.popLimit(limit);
+                }
+                case P_BOX << 3 | 2 -> {
+                    int limit = in.pushLimit(in.readRawVarint32());
+                    boxes.add(box(in));
+                    in.popLimit(limit);
+                }
+                default -> skip(in, tag);
+            }
+        }
+        check(version == VERSION, "no version");
+        check(pieces > 0 && pieces <= Snapshot.MOST_BOXES && number >= 0 && number < pieces,
+                "piece " + number + " of " + pieces);
+        check(taken > 0 && started > 0, "no times");
+        return new Piece(number, pieces, new Snapshot(new Origin(id, taken, started, revision, troubles),
+                classes, boxes));
+    }
+
+    private static ClassState cls(CodedInputStream in) throws IOException, MalformedState {
+        String name = null;
+        int answers = 0;
+        double latency = 0;
+        double least = 0;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (tag) {
+                case 1 << 3 | 2 -> name = name(in);
+                case 2 << 3 -> answers = count(in);
+                case 3 << 3 | 1 -> latency = figure(in);
+                case 4 << 3 | 1 -> least = figure(in);
+                default -> skip(in, tag);
+            }
+        }
+        check(name != null && !name.isEmpty(), "a class without a name");
+        return new ClassState(name, answers, latency, least);
+    }
+
+    private static BoxState box(CodedInputStream in) throws IOException, MalformedState {
+        String id = null;
+        byte[] host = null;
+        int port = 0;
+        String zone = "";
+        int cell = 0;
+        int state = 0;
+        double weight = 1;
+        long boot = 0;
+        long confirmed = 0;
+        int by = 0;
+        long known = 0;
+        int answers = 0;
+        long heard = 0;
+        long served = 0;
+        int errors = 0;
+        int failures = 0;
+        double faults = 0;
+        double pace = 1;
+        double limit = 1;
+        boolean ejected = false;
+        List<Integer> misses = new ArrayList<>(4);
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            switch (tag) {
+                case 1 << 3 | 2 -> id = name(in);
+                case 2 << 3 | 2 -> host = in.readByteArray();
+                case 3 << 3 -> port = in.readUInt32();
+                case 4 << 3 | 2 -> zone = name(in);
+                case 5 << 3 -> cell = in.readSInt32();
+                case 6 << 3 -> state = in.readUInt32();
+                case 7 << 3 | 1 -> weight = figure(in);
+                case 8 << 3 -> boot = time(in);
+                case 9 << 3 -> confirmed = time(in);
+                case 10 << 3 -> by = in.readUInt32();
+                case 11 << 3 -> known = time(in);
+                case 12 << 3 -> answers = count(in);
+                case 13 << 3 -> heard = time(in);
+                case 14 << 3 -> served = time(in);
+                case 15 << 3 -> errors = count(in);
+                case 16 << 3 -> failures = count(in);
+                case 17 << 3 | 1 -> faults = figure(in);
+                case 18 << 3 | 1 -> pace = figure(in);
+                case 19 << 3 | 1 -> limit = figure(in);
+                case 20 << 3 -> ejected = in.readBool();
+                case 21 << 3 -> {
+                    check(misses.size() < Snapshot.MOST_CLASSES, "too many classes");
+                    misses.add(count(in));
+                }
+                default -> skip(in, tag);
+            }
+        }
+        check(id != null && !id.isEmpty(), "a box without a name");
+        check(host != null && (host.length == 4 || host.length == 16) && port > 0 && port <= 65_535,
+                "box " + id + " has no address");
+        check(confirmed > 0, "box " + id + " has never been there");
+        Target target = new Target(id, new InetSocketAddress(InetAddress.getByAddress(host), port), zone,
+                cell,
+                state == 0 ? ServerState.READY : ServerState.DRAINING, weight, boot);
+        // How sure a word of an unknown kind is can't be told: the least sure of those that are known.
+        Confirmed how = by >= 0 && by < Confirmed.values().length ? Confirmed.values()[by] : Confirmed.ANSWER;
+        return new BoxState(target, confirmed, how, known, known == 0 ? null : new OfServer(id, 1_000 * boot,
+                answers, heard, served, errors, Math.min(16, failures), Math.min(1, faults), pace, limit,
+                ejected, misses));
+    }
+
+    private static String name(CodedInputStream in) throws IOException, MalformedState {
+        int length = in.readRawVarint32();
+        check(length >= 0 && length <= MOST_NAME, "a name of " + length + " bytes");
+        byte[] bytes = in.readRawBytes(length);
+        String name = new String(bytes, StandardCharsets.UTF_8);
+        check(name.chars().noneMatch(c -> c < ' ' || c == 0xFFFD || c == 0x7F), "a name that is no text");
+        return name;
+    }
+
+    private static int count(CodedInputStream in) throws IOException, MalformedState {
+        int count = in.readUInt32();
+        check(count >= 0, "a count out of range");
+        return count;
+    }
+
+    /** Finite and not negative. */
+    private static double figure(CodedInputStream in) throws IOException, MalformedState {
+        double figure = in.readDouble();
+        check(figure >= 0 && figure < Double.POSITIVE_INFINITY, "a figure out of range");
+        return figure;
+    }
+
+    /** Milliseconds or microseconds, so far from the ends that neither overflows when converted. */
+    private static long time(CodedInputStream in) throws IOException, MalformedState {
+        long time = in.readInt64();
+        check(time >= 0 && time < 1L << 53, "a time out of range");
+        return time;
+    }
+
+    private static void skip(CodedInputStream in, int tag) throws IOException, MalformedState {
+        // Groups nest; no version writes any.
+        check(WireFormat.getTagWireType(tag) != WireFormat.WIRETYPE_START_GROUP && in.skipField(tag),
+                "a group");
+    }
+
+    private static void check(boolean holds, String otherwise) throws MalformedState {
+        if (!holds) {
+            throw new MalformedState(otherwise);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/vetchpost/state/codec/PieceCodecTest.java
@@ -0,0 +1,204 @@
+package vetchpost.state.codec;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+import vetchpost.state.BoxState;
+import vetchpost.state.Snapshot;
+import vetchpost.state.States;
+import vetchpost.state.Trouble;
+import com.google.protobuf.CodedOutputStream;
+import org.junit.jupiter.api.Test;
+
+/** Pieces as bytes, and all that may be wrong with such bytes. */
+class PieceCodecTest {
+    private static byte[] bytes(Snapshot snapshot) {
+        return PieceCodec.write(0, 1, snapshot.origin(), snapshot.classes(), snapshot.boxes());
+    }
+
+    private static String refusal(byte[] bytes) {
+        return assertThrows(MalformedState.class, () -> PieceCodec.read(bytes)).getMessage();
+    }
+
+    /** A message of protobuf's, with what is to be in it. */
+    private interface Writing {
+        void to(CodedOutputStream out) throws IOException;
+    }
+
+    private static byte[] message(Writing writing) throws IOException {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+        writing.to(out);
+        out.flush();
+        return bytes.toByteArray();
+    }
+
+    private static byte[] join(byte[] a, byte[] b) {
+        byte[] joined = Arrays.copyOf(a, a.length + b.length);
+        System.arraycopy(b, 0, joined, a.length, b.length);
+        return joined;
+    }
+
+    @Test
+    void whatIsWrittenIsRead() throws MalformedState {
+        SplittableRandom random = new SplittableRandom(14);
+        for (int i = 0; i < 200; i++) {
+            Snapshot snapshot = States.random(random, random.nextInt(60));
+            PieceCodec.Piece piece = PieceCodec.read(bytes(snapshot));
+            assertEquals(snapshot, piece.part());
+            assertEquals(1, piece.pieces());
+        }
+    }
+
+    @Test
+    void aPieceOfTheMostBoxesFitsItsBound() {
+        Snapshot snapshot = States.random(new SplittableRandom(1), PieceCodec.BOXES);
+        assertTrue(bytes(snapshot).length < PieceCodec.MOST_BYTES / 2, bytes(snapshot).length + " bytes");
+    }
+
+    @Test
+    void fieldsOfLaterVersionsArePassedOver() throws Exception {
+        Snapshot snapshot = States.of(3, 1, States.NOW_MS);
+        byte[] more = message(out -> {
+            out.writeString(900, "what nobody knows yet");
+            out.writeFixed32(901, 7);
+            out.writeDouble(902, 1.5);
+        });
+        assertEquals(snapshot, PieceCodec.read(join(bytes(snapshot), more)).part());
+        byte[] trouble = message(out -> out.writeUInt32(8, 77));
+        assertEquals(Set.of(Trouble.MOST_ILL), PieceCodec.read(join(bytes(snapshot), trouble)).part().origin()
+                .troubles(), "a trouble of a later version is one all the same");
+    }
+
+    @Test
+    void newerVersionsAreRefusedClearly() throws Exception {
+        assertEquals("a snapshot of version 2; this program knows 1",
+                refusal(message(out -> out.writeUInt32(1, 2))));
+    }
+
+    @Test
+    void whatCannotBeIsRefused() throws Exception {
+        byte[] good = bytes(States.of(2, 0, States.NOW_MS));
+        assertTrue(refusal(new byte[0]).contains("no version"));
+        assertTrue(refusal(new byte[PieceCodec.MOST_BYTES + 1]).contains("65537 bytes"));
+        assertTrue(refusal(Arrays.copyOf(good, good.length - 3)).contains("not a piece"));
+        // Lengths that nothing stands behind: no room is made for them.
+        assertTrue(refusal(join(good, message(out -> {
+            out.writeTag(10, 2);
+            out.writeUInt32NoTag(Integer.MAX_VALUE);
+        }))).contains("not a piece"));
+        byte[] longName = message(out -> out.writeByteArray(10, message(box -> box.writeString(1,
+                "n".repeat(300)))));
+        assertTrue(refusal(join(good, longName)).contains("a name of 300 bytes"));
+        byte[] noAddress = message(out -> out.writeByteArray(10, message(box -> {
+            box.writeString(1, "s-9");
+            box.writeByteArray(2, new byte[5]);
+            box.writeUInt32(3, 80);
+        })));
+        assertTrue(refusal(join(good, noAddress)).contains("no address"));
+        byte[] figure = message(out -> out.writeByteArray(10, message(box -> box.writeDouble(18,
+                Double.NaN))));
+        assertTrue(refusal(join(good, figure)).contains("figure out of range"));
+        byte[] lines = message(out -> out.writeByteArray(10, message(box -> box.writeString(1,
+                "s\nfalse line"))));
+        assertTrue(refusal(join(good, lines)).contains("no text"));
+        byte[] group = message(out -> {
+            for (int i = 0; i < 30_000; i++) {
+                out.writeTag(99, 3);
+            }
+        });
+        assertTrue(refusal(join(good, group)).contains("a group"));
+    }
+
+    /** Any bytes end in a piece or in a refusal, and in nothing else. */
+    @Test
+    void tenThousandCorruptionsEndInAPieceOrARefusal() {
+        SplittableRandom random = new SplittableRandom(42);
+        int read = 0;
+        int refused = 0;
+        for (int i = 0; i < 10_000; i++) {
+            byte[] bytes = corrupted(bytes(States.random(random, random.nextInt(12))), random);
+            try {
+                PieceCodec.Piece piece = PieceCodec.read(bytes);
+                assertTrue(piece.part().boxes().size() <= bytes.length);
+                read++;
+            } catch (MalformedState e) {
+                assertFalse(e.getMessage().isBlank());
+                refused++;
+            }
+        }
+        assertTrue(refused > 3_000 && read > 500, refused + " refused, " + read + " read");
+    }
+
+    /** Bits turned, bytes cut off, put in, doubled or replaced. */
+    static byte[] corrupted(byte[] good, SplittableRandom random) {
+        byte[] bytes = good.clone();
+        for (int n = 1 + random.nextInt(4); n > 0 && bytes.length > 0; n--) {
+            int at = random.nextInt(bytes.length);
+            switch (random.nextInt(5)) {
+                case 0 -> bytes[at] ^= (byte) (1 << random.nextInt(8));
+                case 1 -> bytes = Arrays.copyOf(bytes, at);
+                case 2 -> bytes = join(Arrays.copyOf(bytes, at), join(new byte[] {(byte) random.nextInt(256)},
+                        Arrays.copyOfRange(bytes, at, bytes.length)));
+                case 3 -> bytes = join(bytes, Arrays.copyOfRange(bytes, at, bytes.length));
+                default -> bytes[at] = (byte) random.nextInt(256);
+            }
+        }
+        return bytes;
+    }
+
+    @Test
+    void piecesArePutTogetherInAnyOrder() throws MalformedState {
+        Snapshot snapshot = States.of(250, 20, States.NOW_MS);
+        List<byte[]> pieces = pieces(snapshot);
+        assertEquals(3, pieces.size());
+        Assembly assembly = new Assembly();
+        for (int i : new int[] {2, 0}) {
+            assembly.add(PieceCodec.read(pieces.get(i)));
+            assertFalse(assembly.isWhole());
+        }
+        assertEquals(150, assembly.snapshot().boxes().size(), "what has come is of use on its own");
+        assembly.add(PieceCodec.read(pieces.get(1)));
+        assertTrue(assembly.isWhole());
+        assertEquals(Set.copyOf(snapshot.boxes()), Set.copyOf(assembly.snapshot().boxes()));
+    }
+
+    private static List<byte[]> pieces(Snapshot snapshot) {
+        int count = PieceCodec.pieces(snapshot.boxes().size());
+        List<byte[]> pieces = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            List<BoxState> part = snapshot.boxes().subList(i * PieceCodec.BOXES,
+                    Math.min(snapshot.boxes().size(), (i + 1) * PieceCodec.BOXES));
+            pieces.add(PieceCodec.write(i, count, snapshot.origin(), snapshot.classes(), part));
+        }
+        return pieces;
+    }
+
+    @Test
+    void piecesOfTwoSnapshotsDoNotMixAndNoneCountsTwice() throws MalformedState {
+        Assembly assembly = new Assembly();
+        List<byte[]> pieces = pieces(States.of(250, 0, States.NOW_MS));
+        assembly.add(PieceCodec.read(pieces.get(0)));
+        Snapshot before = assembly.snapshot();
+        List<byte[]> others = pieces(States.of(250, 0, States.NOW_MS + 1));
+        assertThrows(MalformedState.class, () -> assembly.add(PieceCodec.read(others.get(1))));
+        assertThrows(MalformedState.class, () -> assembly.add(PieceCodec.read(pieces.get(0))));
+        Snapshot same = States.of(250, 0, States.NOW_MS);
+        byte[] again = PieceCodec.write(1, 3, same.origin(), same.classes(), same.boxes().subList(99, 120));
+        assertThrows(MalformedState.class, () -> assembly.add(PieceCodec.read(again)), "a box twice");
+        assertEquals(before, assembly.snapshot(), "nothing of them was taken");
+        assertFalse(assembly.isWhole());
+        assertArrayEquals(pieces.get(0), pieces(States.of(250, 0, States.NOW_MS)).get(0));
+    }
+}
--- /dev/null
+++ b/src/test/java/vetchpost/state/disk/ScriptedDisk.java
@@ -0,0 +1,188 @@
+package vetchpost.state.disk;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+/**
+ * A disk that loses what was not forced, as a machine that loses its power does: contents not forced come
+ * back torn or empty, and of the moves not forced only some first ones have happened. Any call can be the
+ * last one.
+ */
+final class ScriptedDisk implements Disk {
+    /** The process is gone in the midst of a call. */
+    static final class Killed extends RuntimeException {
+        private static final long serialVersionUID = 1L;
+    }
+
+    /** A file's bytes, and how many of them are surely on the disk. */
+    private static final class Bytes {
+        byte[] bytes = new byte[0];
+        int forced;
+    }
+
+    private final Map<Path, Bytes> names = new LinkedHashMap<>();
+    /** Names as they are on the disk, and the changes to them that are not forced. */
+    private Map<Path, Bytes> onDisk = new HashMap<>();
+    private final List<Map<Path, Bytes>> unforced = new ArrayList<>();
+    private int calls;
+    private int lastCall = Integer.MAX_VALUE;
+    private IOException fails;
+
+    /** The call of this number, from 1, is cut off halfway, and there is none after it. */
+    void killAt(int call) {
+        calls = 0;
+        lastCall = call;
+    }
+
+    /** Writes fail so from now on; null for no more. */
+    void failsWith(IOException how) {
+        fails = how;
+    }
+
+    int calls() {
+        return calls;
+    }
+
+    private boolean isLast() {
+        if (++calls > lastCall) {
+            throw new Killed();
+        }
+        return calls == lastCall;
+    }
+
+    private void changed() {
+        unforced.add(new HashMap<>(names));
+    }
+
+    /** The machine is back after it lost its power: what was not forced is there or not, by chance. */
+    ScriptedDisk afterPowerLoss(SplittableRandom chance) {
+        ScriptedDisk back = new ScriptedDisk();
+        int kept = chance.nextInt(unforced.size() + 1);
+        Map<Path, Bytes> found = kept == 0 ? onDisk : unforced.get(kept - 1);
+        found.forEach((path, file) -> {
+            Bytes bytes = new Bytes();
+            int length = file.forced + chance.nextInt(file.bytes.length - file.forced + 1);
+            bytes.bytes = Arrays.copyOf(file.bytes, length);
+            // What the disk had at hand of blocks that were not forced.
+            for (int i = file.forced; i < length; i++) {
+                bytes.bytes[i] = chance.nextInt(3) == 0 ? 0 : bytes.bytes[i];
+            }
+            bytes.forced = length;
+            back.names.put(path, bytes);
+        });
+        back.onDisk = new HashMap<>(back.names);
+        return back;
+    }
+
+    /** The process was killed, and the machine goes on: all that the system had taken is there. */
+    ScriptedDisk afterKill() {
+        ScriptedDisk back = new ScriptedDisk();
+        back.names.putAll(names);
+        back.onDisk = new HashMap<>(names);
+        return back;
+    }
+
+    /** Puts a file there as it is. */
+    void put(Path file, byte[] bytes) {
+        Bytes fresh = new Bytes();
+        fresh.bytes = bytes;
+        fresh.forced = bytes.length;
+        names.put(file, fresh);
+        onDisk.put(file, fresh);
+    }
+
+    byte[] get(Path file) {
+        return names.get(file).bytes;
+    }
+
+    @Override
+    public Sink create(Path file) throws IOException {
+        boolean last = isLast();
+        if (fails != null) {
+            throw fails;
+        }
+        Bytes fresh = new Bytes();
+        names.put(file, fresh);
+        changed();
+        if (last) {
+            throw new Killed();
+        }
+        return new Sink() {
+            @Override
+            public void write(ByteBuffer bytes) throws IOException {
+                boolean lastWrite = isLast();
+                if (fails != null) {
+                    throw fails;
+                }
+                int length = lastWrite ? bytes.remaining() / 2 : bytes.remaining();
+                int at = fresh.bytes.length;
+                fresh.bytes = Arrays.copyOf(fresh.bytes, at + length);
+                bytes.get(fresh.bytes, at, length);
+                if (lastWrite) {
+                    throw new Killed();
+                }
+            }
+
+            @Override
+            public void force() {
+                if (isLast()) {
+                    throw new Killed();
+                }
+                fresh.forced = fresh.bytes.length;
+            }
+
+            @Override
+            public void close() {
+                // Nothing is held open.
+            }
+        };
+    }
+
+    @Override
+    public void move(Path from, Path to) throws IOException {
+        boolean last = isLast();
+        if (fails != null) {
+            throw fails;
+        }
+        if (last) {
+            throw new Killed();
+        }
+        Bytes moved = names.remove(from);
+        if (moved == null) {
+            throw new IOException("no such file: " + from);
+        }
+        names.put(to, moved);
+        changed();
+    }
+
+    @Override
+    public void forceFolder(Path folder) {
+        if (isLast()) {
+            throw new Killed();
+        }
+        onDisk = new HashMap<>(names);
+        unforced.clear();
+    }
+
+    @Override
+    public boolean exists(Path file) {
+        return names.containsKey(file);
+    }
+
+    @Override
+    public byte[] read(Path file, long most) throws IOException {
+        byte[] bytes = names.get(file).bytes;
+        if (bytes.length > most) {
+            throw new IOException("is over " + most + " bytes");
+        }
+        return bytes.clone();
+    }
+}
