--- /dev/null
+++ b/src/main/java/vetchpost/handover/Secret.java
@@ -0,0 +1,134 @@
+package vetchpost.handover;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.util.ArrayList;
+import java.util.List;
+
+import at.favre.lib.hkdf.HKDF;
+import org.apache.commons.codec.digest.HmacAlgorithms;
+import org.apache.commons.codec.digest.HmacUtils;
+
+/**
+ * What both sides of a handover know and nobody else: they prove it to each other over fresh nonces
+ * (HMAC-SHA-256, RFC 2104), and the giver's pieces carry tags by a key of this one handover (HKDF, RFC 5869).
+ * While a secret is replaced there are two; the first is used to ask, either is answered.
+ */
+public final class Secret {
+    /** Bytes of a proof or a tag. */
+    static final int PROOF = 32;
+    /** Bytes of a nonce. */
+    static final int NONCE = 32;
+    /** A shorter one can be guessed. */
+    static final int LEAST = 32;
+    private static final int MOST = 1_024;
+    private static final int MOST_KEYS = 4;
+    private static final long MOST_FILE = 8 * 1_024;
+
+    private final List<byte[]> keys;
+
+    private Secret(List<byte[]> keys) {
+        this.keys = keys;
+    }
+
+    /** Of these texts, the one to ask with first. */
+    static Secret of(String... texts) {
+        List<byte[]> keys = new ArrayList<>();
+        for (String text : texts) {
+            keys.add(text.getBytes(StandardCharsets.UTF_8));
+        }
+        return new Secret(keys);
+    }
+
+    /**
+     * One secret, for where there is no file.
+     *
+     * @throws IllegalArgumentException if it is too short or too long
+     */
+    public static Secret ofText(String text) {
+        int length = text.getBytes(StandardCharsets.UTF_8).length;
+        if (length < LEAST || length > MOST) {
+            throw new IllegalArgumentException("a secret of " + length + " bytes");
+        }
+        return of(text);
+    }
+
+    /**
+     * Reads a file with a secret a line; blank lines and those that begin with # are passed over.
+     *
+     * @throws IOException if it can't be read or holds none, with one line for an operator
+     */
+    public static Secret read(Path file) throws IOException {
+        if (Files.size(file) > MOST_FILE) {
+            throw new IOException(file + " is over " + MOST_FILE + " bytes");
+        }
+        List<byte[]> keys = new ArrayList<>();
+        for (String line : Files.readAllLines(file)) {
+            String text = line.strip();
+            if (text.isEmpty() || text.startsWith("#")) {
+                continue;
+            }
+            byte[] key = text.getBytes(StandardCharsets.UTF_8);
+            if (key.length < LEAST || key.length > MOST) {
+                throw new IOException(file + " holds a secret of " + key.length + " bytes; from " + LEAST
+                        + " to " + MOST + " are wanted");
+            }
+            keys.add(key);
+        }
+        if (keys.isEmpty() || keys.size() > MOST_KEYS) {
+            throw new IOException(file + " holds " + keys.size() + " secrets; from 1 to " + MOST_KEYS
+                    + " are wanted");
+        }
+        return new Secret(keys);
+    }
+
+    int keys() {
+        return keys.size();
+    }
+
+    /** What shows that a side knows a key, for this pair of nonces. */
+    byte[] proof(int key, String side, byte[] giverNonce, byte[] takerNonce) {
+        HmacUtils hmac = new HmacUtils(HmacAlgorithms.HMAC_SHA_256, keys.get(key));
+        return hmac.hmac(join(side.getBytes(StandardCharsets.US_ASCII), giverNonce, takerNonce));
+    }
+
+    /** Which key such a proof was made with, or -1. Takes as long whichever it is. */
+    int keyOf(byte[] proof, String side, byte[] giverNonce, byte[] takerNonce) {
+        int found = -1;
+        for (int key = 0; key < keys.size(); key++) {
+            if (MessageDigest.isEqual(proof, proof(key, side, giverNonce, takerNonce))) {
+                found = key;
+            }
+        }
+        return found;
+    }
+
+    /** What the tags of one handover are made with. */
+    byte[] session(int key, byte[] giverNonce, byte[] takerNonce) {
+        return HKDF.fromHmacSha256().extractAndExpand(join(giverNonce, takerNonce), keys.get(key),
+                "vetchpost handover 1".getBytes(StandardCharsets.US_ASCII), PROOF);
+    }
+
+    /** The tag of a message: it holds its place, so that none can be left out, moved or played again. */
+    static byte[] tag(byte[] session, int number, byte[] message) {
+        byte[] place = {(byte) (number >>> 24), (byte) (number >>> 16), (byte) (number >>> 8), (byte) number};
+        return new HmacUtils(HmacAlgorithms.HMAC_SHA_256, session).hmac(join(place, message));
+    }
+
+    private static byte[] join(byte[]... parts) {
+        int length = 0;
+        for (byte[] part : parts) {
+            length += part.length;
+        }
+        byte[] joined = new byte[length];
+        int at = 0;
+        for (byte[] part : parts) {
+            System.arraycopy(part, 0, joined, at, part.length);
+            at += part.length;
+        }
+        return joined;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/handover/Taker.java
@@ -0,0 +1,184 @@
+package vetchpost.handover;
+
+import java.net.InetSocketAddress;
+import java.security.MessageDigest;
+import java.security.SecureRandom;
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+
+import vetchpost.net.Network;
+import vetchpost.state.Snapshot;
+import vetchpost.state.codec.Assembly;
+import vetchpost.state.codec.MalformedState;
+import vetchpost.state.codec.PieceCodec;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/** Asks a running node for what it knows, once. Whatever comes is bounded in bytes and time, and checked. */
+public final class Taker {
+    /** 100,000 boxes take under 24 MiB. */
+    static final long MOST_BYTES = 32L << 20;
+
+    /** What a handover came to. */
+    public interface Outcome {
+        /**
+         * The only call.
+         *
+         * @param snapshot what has come and holds, in part if the handover was cut off; null for nothing
+         * @param whole whether it is all of it
+         * @param why what went wrong, if anything has; else null
+         */
+        void taken(Snapshot snapshot, boolean whole, String why);
+    }
+
+    private final EventLoop loop;
+    private final Network network;
+    private final Secret secret;
+    private final SecureRandom random;
+
+    public Taker(EventLoop loop, Network network, Secret secret, SecureRandom random) {
+        this.loop = loop;
+        this.network = network;
+        this.secret = secret;
+        this.random = random;
+    }
+
+    /**
+     * Asks there.
+     *
+     * @param withinMs all that has not come by then is not waited for
+     * @return ends it at once, as if the time were up
+     */
+    public Runnable ask(InetSocketAddress address, long withinMs, Outcome outcome) {
+        Asking asking = new Asking(outcome);
+        asking.limit = loop.schedule(() -> asking.end("it took too long"), withinMs, TimeUnit.MILLISECONDS);
+        try {
+            asking.channel = network.connecting();
+        } catch (ChannelException e) {
+            loop.execute(() -> asking.end("no connection could be opened"));
+            return () -> asking.end("called off");
+        }
+        new Bootstrap().group(loop).channelFactory(() -> asking.channel).disableResolver()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, withinMs))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel to) {
+                        asking.open(to);
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        asking.end("nobody is there");
+                    }
+                });
+        return () -> asking.end("called off");
+    }
+
+    /** Begins on a channel that is open, with no limit of time of its own. */
+    void attach(Channel channel, Outcome outcome) {
+        Asking asking = new Asking(outcome);
+        asking.channel = channel;
+        asking.open(channel);
+    }
+
+    private final class Asking extends SimpleChannelInboundHandler<ByteBuf> {
+        private final Outcome outcome;
+        private final Assembly assembly = new Assembly();
+        private final byte[] nonce = new byte[Secret.NONCE];
+        private byte[] giverNonce;
+        private byte[] session;
+        private int number;
+        private long bytes;
+        private Channel channel;
+        private ScheduledFuture<?> limit;
+        private boolean over;
+
+        Asking(Outcome outcome) {
+            this.outcome = outcome;
+            random.nextBytes(nonce);
+        }
+
+        void open(Channel to) {
+            Wire.frames(to.pipeline(), Wire.mostFrame());
+            to.pipeline().addLast(this);
+        }
+
+        void end(String why) {
+            if (over) {
+                return;
+            }
+            over = true;
+            if (limit != null) {
+                limit.cancel(false);
+            }
+            if (channel != null) {
+                channel.close();
+            }
+            outcome.taken(assembly.snapshot(), assembly.isWhole(), why);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf message) {
+            if (over) {
+                return;
+            }
+            bytes += message.readableBytes();
+            try {
+                if (bytes > MOST_BYTES) {
+                    throw new Wire.Refused("it sent over " + MOST_BYTES + " bytes");
+                }
+                take(message);
+            } catch (Wire.Refused | MalformedState e) {
+                end(e.getMessage());
+            }
+        }
+
+        private void take(ByteBuf message) throws Wire.Refused, MalformedState {
+            if (giverNonce == null) {
+                giverNonce = Wire.hello(message, 0).nonce();
+                Wire.hello(channel, nonce, secret.proof(0, Wire.TAKER, giverNonce, nonce));
+            } else if (session == null) {
+                if (!MessageDigest.isEqual(Wire.bytes(message), secret.proof(0, Wire.GIVER, giverNonce,
+                        nonce))) {
+                    throw new Wire.Refused("it doesn't know the secret");
+                }
+                session = secret.session(0, giverNonce, nonce);
+            } else {
+                piece(Wire.bytes(message));
+            }
+        }
+
+        private void piece(byte[] message) throws Wire.Refused, MalformedState {
+            if (message.length < Secret.PROOF) {
+                throw new Wire.Refused("a piece without a tag");
+            }
+            byte[] piece = Arrays.copyOf(message, message.length - Secret.PROOF);
+            byte[] tag = Arrays.copyOfRange(message, piece.length, message.length);
+            if (!MessageDigest.isEqual(tag, Secret.tag(session, number++, piece))) {
+                throw new Wire.Refused("a piece that is not the giver's, or not in its place");
+            }
+            if (piece.length == 0) {
+                end(assembly.isWhole() ? null : "pieces are missing");
+            } else {
+                assembly.add(PieceCodec.read(piece));
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            end("it was cut off");
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            end("it broke: " + cause.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/handover/Wire.java
@@ -0,0 +1,81 @@
+package vetchpost.handover;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+import vetchpost.state.codec.PieceCodec;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+
+/**
+ * The handover's messages. Each is a length of four bytes and as many bytes. The giver begins with a hello
+ * and a nonce; the taker answers with its own and a proof that it knows the secret; the giver proves the same
+ * and sends pieces, each with a tag, and a last one that is empty.
+ */
+final class Wire {
+    static final String GIVER = "giver";
+    static final String TAKER = "taker";
+    private static final byte[] HELLO = "VPHAND".getBytes(StandardCharsets.US_ASCII);
+    private static final int VERSION = 1;
+    private static final int MOST_FRAME = PieceCodec.MOST_BYTES + Secret.PROOF;
+    private static final int LENGTH = 4;
+    /** The longest message before both sides have proved themselves. */
+    static final int MOST_HELLO = HELLO.length + 1 + Secret.NONCE + Secret.PROOF;
+
+    /** What the other side has said can't be used. */
+    static final class Refused extends Exception {
+        private static final long serialVersionUID = 1L;
+
+        Refused(String why) {
+            super(why);
+        }
+    }
+
+    /** A side's nonce, and its proof if it has one by then. */
+    record Hello(byte[] nonce, byte[] proof) { }
+
+    private Wire() { }
+
+    /** Messages in place of bytes; too long a one ends in an exception before room is made for it. */
+    static void frames(ChannelPipeline pipeline, int most) {
+        pipeline.addLast(new LengthFieldBasedFrameDecoder(Math.min(MOST_FRAME, most) + LENGTH, 0, LENGTH, 0,
+                LENGTH), new LengthFieldPrepender(LENGTH));
+    }
+
+    static int mostFrame() {
+        return MOST_FRAME;
+    }
+
+    static void hello(Channel to, byte[] nonce, byte[] proof) {
+        to.writeAndFlush(Unpooled.wrappedBuffer(HELLO, new byte[] {VERSION}, nonce, proof));
+    }
+
+    static void send(Channel to, byte[]... parts) {
+        to.writeAndFlush(Unpooled.wrappedBuffer(parts));
+    }
+
+    static Hello hello(ByteBuf message, int proofLength) throws Refused {
+        byte[] bytes = bytes(message);
+        int nonceAt = HELLO.length + 1;
+        if (bytes.length < nonceAt || !Arrays.equals(Arrays.copyOf(bytes, HELLO.length), HELLO)) {
+            throw new Refused("it is no node of this program's");
+        }
+        if (bytes[HELLO.length] != VERSION) {
+            throw new Refused("it speaks version " + bytes[HELLO.length] + "; this program knows " + VERSION);
+        }
+        if (bytes.length != nonceAt + Secret.NONCE + proofLength) {
+            throw new Refused("its hello has " + bytes.length + " bytes");
+        }
+        return new Hello(Arrays.copyOfRange(bytes, nonceAt, nonceAt + Secret.NONCE),
+                Arrays.copyOfRange(bytes, nonceAt + Secret.NONCE, bytes.length));
+    }
+
+    static byte[] bytes(ByteBuf message) {
+        return ByteBufUtil.getBytes(message);
+    }
+}
