--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -16,6 +16,7 @@
 import vetchpost.decision.Balancer.Request;
 import vetchpost.decision.Balancer.Result;
 import vetchpost.decision.Balancer.ServerEntry;
+import vetchpost.decision.Knowledge;
 
 /**
  * The life of requests: it holds them and their attempts from the moment they are taken until each has its
@@ -374,6 +375,23 @@
         LOG.log(Level.INFO, line);
     }
 
+    // ---------------------------------------------------------------- what the module knows
+
+    /** What the module has learned of these servers, and of the classes. */
+    public Knowledge knowledge(List<String> serverIds) {
+        return balancer.knowledge(serverIds);
+    }
+
+    /** Has the module begin with this where it has learned nothing yet. */
+    public void recall(Knowledge prior) {
+        enter(null, () -> balancer.onPrior(clock.nowUs(), prior));
+    }
+
+    /** The servers as they were told last, those that drain too. */
+    public List<ServerList.Target> known() {
+        return intake.known();
+    }
+
     // ---------------------------------------------------------------- the list of servers
 
     /** Takes in a list, at once or after the call of the module that is running; a large one bit by bit. */
--- a/src/main/java/vetchpost/core/ListIntake.java
+++ b/src/main/java/vetchpost/core/ListIntake.java
@@ -53,6 +53,11 @@
         return new Slice(ListKind.CACHED, addresses.settle(list));
     }
 
+    /** All that has been told and not gone since. */
+    List<Target> known() {
+        return List.copyOf(known.values());
+    }
+
     /** A list to be taken in, after those before; a whole one takes the place of all that still wait. */
     void add(ServerList list) {
         if (list.all()) {
--- a/src/main/java/vetchpost/daemon/CheckCommand.java
+++ b/src/main/java/vetchpost/daemon/CheckCommand.java
@@ -3,12 +3,14 @@
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 
 import vetchpost.config.Config;
 import vetchpost.decision.Balancer.Settings;
+import vetchpost.recovery.RecoveryProver;
 import vetchpost.routes.Explanation;
 import vetchpost.routes.Proof;
 import vetchpost.routes.Prover;
@@ -54,7 +56,8 @@
             throw bad("can't read the file: " + e);
         }
         Proof proof = read.violations().isEmpty() ? Prover.prove(read.sections(), settings) : null;
-        List<Violation> violations = proof == null ? read.violations() : proof.violations();
+        List<Violation> violations = new ArrayList<>(proof == null ? read.violations() : proof.violations());
+        violations.addAll(RecoveryProver.prove(read.sections()).violations());
         PrintWriter out = spec.commandLine().getOut();
         if (!violations.isEmpty()) {
             violations.forEach(out::println);
--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -89,6 +89,9 @@
                 if (loaded.subset() != null) {
                     node.subset(loaded.subset());
                 }
+                if (loaded.recovery() != null) {
+                    node.companion(RecoveryLoader.load(loaded.recovery(), config.settings(), loop, group));
+                }
             }
         } catch (IllegalArgumentException e) {
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
@@ -117,7 +120,7 @@
             EventLoop loop) {
         try {
             Config config = Config.reread(environment);
-            // Which part of the fleet it has stays as it was at the start.
+            // Which part of the fleet it has, and what is kept and handed over, stay as at the start.
             RoutePolicy policy = RouteLoader.load(routes, config.settings(), config.seed()).policy();
             loop.execute(() -> {
                 node[0].reload(config);
--- a/src/main/java/vetchpost/daemon/RouteLoader.java
+++ b/src/main/java/vetchpost/daemon/RouteLoader.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
 
@@ -10,6 +11,8 @@
 import vetchpost.decision.Balancer.Group;
 import vetchpost.decision.Balancer.Repeat;
 import vetchpost.decision.Balancer.Settings;
+import vetchpost.recovery.RecoveryProver;
+import vetchpost.recovery.RecoverySettings;
 import vetchpost.routes.FileRoutePolicy;
 import vetchpost.routes.Proof;
 import vetchpost.routes.Prover;
@@ -20,8 +23,11 @@
 final class RouteLoader {
     private RouteLoader() { }
 
-    /** What a file comes to; {@code subset} is null where a node has the whole fleet. */
-    record Loaded(RoutePolicy policy, Subset subset) { }
+    /**
+     * What a file comes to; {@code subset} is null where a node has the whole fleet, {@code recovery} where
+     * nothing is kept or handed over.
+     */
+    record Loaded(RoutePolicy policy, Subset subset, RecoverySettings recovery) { }
 
     /** Throws IllegalArgumentException with a line for each violation. */
     static Loaded load(Path path, Settings settings, long seed) {
@@ -35,11 +41,14 @@
             throw new IllegalArgumentException(lines(file.violations()));
         }
         Proof proof = Prover.prove(file.sections(), settings);
-        if (!proof.holds()) {
-            throw new IllegalArgumentException(lines(proof.violations()));
+        RecoveryProver.Proof recovery = RecoveryProver.prove(file.sections());
+        if (!proof.holds() || !recovery.violations().isEmpty()) {
+            List<Violation> violations = new ArrayList<>(proof.violations());
+            violations.addAll(recovery.violations());
+            throw new IllegalArgumentException(lines(violations));
         }
         return new Loaded(new FileRoutePolicy(proof.table(), settings, seed),
-                proof.part() == null ? null : subset(proof.part(), settings));
+                proof.part() == null ? null : subset(proof.part(), settings), recovery.settings());
     }
 
     /** Where repeats must stay in a cell, a node has all of a cell or nothing. */
--- a/src/main/java/vetchpost/discovery/Discovery.java
+++ b/src/main/java/vetchpost/discovery/Discovery.java
@@ -51,6 +51,9 @@
 
         /** The watch could not be opened or has ended. */
         void onWatchFailed(String reason);
+
+        /** The watch has said something, if only that nothing has changed. */
+        default void onHeard() { }
     }
 
     private final EventLoop loop;
@@ -212,6 +215,7 @@
         }
 
         private void heard() {
+            listener.onHeard();
             silence.cancel(false);
             silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
         }
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -217,7 +217,7 @@
             return bad(new BadRequest(HttpResponseStatus.METHOD_NOT_ALLOWED, "use GET"));
         }
         String not = server.notReady();
-        return not == null ? HttpReply.plain(HttpResponseStatus.OK, "ready")
+        return not == null ? HttpReply.plain(HttpResponseStatus.OK, server.readyText())
                 : HttpReply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, not);
     }
 
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.concurrent.TimeUnit;
 
 import vetchpost.core.ClientReply;
@@ -66,6 +67,7 @@
     private ScheduledFuture<?> sweeper;
     private Channel listening;
     private String rehearsal;
+    private Supplier<String> serving;
     private boolean ready;
     private boolean draining;
     private boolean closing;
@@ -126,6 +128,15 @@
         ready = true;
     }
 
+    /** Has {@code /ready} say by what the node serves; null for no more than that it is ready. */
+    public void serving(Supplier<String> by) {
+        serving = by;
+    }
+
+    String readyText() {
+        return serving == null ? "ready" : "ready: " + serving.get();
+    }
+
     /** Every answer from here on closes its connection; new connections are still taken. */
     public void drain() {
         draining = true;
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import vetchpost.config.Config;
+import vetchpost.core.Companion;
 import vetchpost.core.Dispatcher;
 import vetchpost.core.RoutePolicy;
 import vetchpost.core.ServerList;
@@ -48,6 +49,8 @@
     private final ClientServer clients;
     private final Stall stall;
     private final Dispatcher dispatcher;
+    private final LoopClock clock;
+    private Companion companion;
     private boolean rehearsing;
     private boolean closed;
 
@@ -71,7 +74,7 @@
         this.loop = loop;
         this.network = network;
         Settings settings = config.settings();
-        LoopClock clock = new LoopClock(loop, unixMs);
+        clock = new LoopClock(loop, unixMs);
         stall = new Stall(clock);
         sockets = new Sockets(config.sockets());
         pool = new ServerPool(loop, network, sockets, settings.connectTimeoutUs, config.connIdleUs());
@@ -102,16 +105,23 @@
                 // Error, in the loop, where nothing but the log would catch it.
                 LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
                 stall.watch();
-                dispatcher.onKnownList(config.known());
+                dispatcher.onKnownList(companion == null ? config.known()
+                        : companion.begin(config.known(), clock.nowUs()));
                 if (!config.settings().listOnRequest) {
                     discovery.subscribe();
                 }
                 String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
                 clients.setRehearsal(token);
-                Runnable ready = () -> {
+                Runnable serve = () -> {
                     clients.setReady();
                     whenReady.run();
                 };
+                Runnable ready = serve;
+                if (companion != null) {
+                    companion.started(dispatcher, stall, clock);
+                    clients.serving(companion::serving);
+                    ready = () -> companion.whenPrepared(serve);
+                }
                 if (rehearsed == 0) {
                     ready.run();
                 } else {
@@ -133,6 +143,11 @@
         dispatcher.subset(part);
     }
 
+    /** Has this go along with the node's life; before it starts. */
+    public void companion(Companion with) {
+        companion = with;
+    }
+
     /** Takes up what may change while it runs: where discovery is. */
     public void reload(Config fresh) {
         discovery.moveTo(fresh.discovery());
@@ -151,6 +166,9 @@
     /** Gives back all that it holds; for the end of a rehearsal, or of a process that goes on. */
     public void close() {
         closed = true;
+        if (companion != null) {
+            companion.close();
+        }
         clients.close();
         dispatcher.close();
         stall.close();
@@ -159,14 +177,28 @@
     }
 
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
-    public void stop(Runnable done) {
+    public void stop(Runnable whenDone) {
         clients.drain();
+        Runnable done = companion == null ? whenDone : both(whenDone);
+        if (companion != null) {
+            companion.stop(done);
+        }
         loop.schedule(() -> {
             clients.stopAccepting();
             runWhenDone(done);
         }, ACCEPT_WHILE_STOPPING_MS, TimeUnit.MILLISECONDS);
     }
 
+    /** Runs it the second time. */
+    private static Runnable both(Runnable whenDone) {
+        int[] left = {2};
+        return () -> {
+            if (--left[0] == 0) {
+                whenDone.run();
+            }
+        };
+    }
+
     private void runWhenDone(Runnable done) {
         if (clients.isDone()) {
             done.run();
@@ -197,6 +229,16 @@
     @Override
     public void onList(ServerList list) {
         dispatcher.onList(list);
+        if (companion != null) {
+            companion.listed(list);
+        }
+    }
+
+    @Override
+    public void onHeard() {
+        if (companion != null) {
+            companion.heard();
+        }
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/vetchpost/recovery/Recovery.java
@@ -0,0 +1,501 @@
+package vetchpost.recovery;
+
+import java.io.IOException;
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.function.Consumer;
+
+import vetchpost.core.Clock;
+import vetchpost.core.Companion;
+import vetchpost.core.Dispatcher;
+import vetchpost.core.ServerList;
+import vetchpost.core.ServerList.Target;
+import vetchpost.core.Stall;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.decision.Knowledge;
+import vetchpost.handover.Giver;
+import vetchpost.handover.Secret;
+import vetchpost.handover.Taker;
+import vetchpost.net.Network;
+import vetchpost.state.BoxState;
+import vetchpost.state.ClassState;
+import vetchpost.state.Confirmed;
+import vetchpost.state.Doubt;
+import vetchpost.state.Origin;
+import vetchpost.state.Priors;
+import vetchpost.state.Recollection;
+import vetchpost.state.Snapshot;
+import vetchpost.state.Trouble;
+import vetchpost.state.codec.PieceCodec;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * What a node knew before its start, brought back, and what it knows now, kept: the snapshot in a file, the
+ * handover from a node that runs, and the handover to others. What is believed is decided in
+ * {@code vetchpost.state}; this only asks, tells and writes. All of it runs on the node's loop but the
+ * writing.
+ */
+public final class Recovery implements Companion {
+    private static final Logger LOG = System.getLogger(Recovery.class.getName());
+
+    /** Boxes gone through in one turn of the loop. */
+    private static final int A_TURN = 500;
+    /** The last snapshot may take so long to reach the disk. */
+    private static final long STOP_MS = 1_000;
+
+    private final RecoverySettings settings;
+    private final List<String> classNames;
+    private final EventLoop loop;
+    private final EventLoopGroup group;
+    private final Network network;
+    private final Secret secret;
+    private final SecureRandom random;
+    private final Keeper keeper;
+    private final Executor writer;
+    private final Snapshot old;
+    private final Sightings sightings;
+    private final Knocker knocker;
+    /** Boxes of the snapshot that are sent to without having said who they are. */
+    private final Set<String> unsure = new HashSet<>();
+    /** Boxes that are asked before anything is sent to them. */
+    private final Map<String, BoxState> asked = new HashMap<>();
+    private final List<Target> toKnock = new ArrayList<>();
+    private long listRevision = Long.MIN_VALUE;
+    private int recalled;
+    private int given;
+    private int gone;
+    private Dispatcher dispatcher;
+    private Stall stall;
+    private Clock clock;
+    private long startedMs;
+    private Clock.Timer nextWrite;
+    private boolean writing;
+    private boolean failing;
+    private Giver giver;
+    private Runnable callOff = () -> { };
+    private boolean prepared;
+    private Runnable whenPrepared;
+    private boolean closed;
+
+    /**
+     * Not begun.
+     *
+     * @param old the snapshot that was kept, or null
+     * @param secret null if there are no handovers
+     * @param keeper where snapshots go; null for nowhere
+     * @param writer runs what may block
+     */
+    public Recovery(RecoverySettings settings, Settings platform, EventLoop loop, EventLoopGroup group,
+            Network network, Snapshot old, Secret secret, SecureRandom random, Keeper keeper,
+                    Executor writer) {
+        this.settings = settings;
+        this.loop = loop;
+        this.group = group;
+        this.network = network;
+        this.old = old;
+        this.secret = secret;
+        this.random = random;
+        this.keeper = keeper;
+        this.writer = writer;
+        classNames = platform.classes.stream().map(c -> c.name()).toList();
+        sightings = new Sightings(platform.classes);
+        knocker = new Knocker(loop, network, settings.identify(), this::found);
+    }
+
+    // ---------------------------------------------------------------- the start
+
+    @Override
+    public ServerList begin(ServerList known, long nowUs) {
+        long nowMs = nowUs / 1_000;
+        startedMs = nowMs;
+        listRevision = known.targets().isEmpty() ? Long.MIN_VALUE : known.revision();
+        Map<Target, Double> use = weigh(old, known, nowMs);
+        if (old != null) {
+            long ageS = (nowMs - old.origin().takenMs()) / 1_000;
+            LOG.log(Level.INFO, "a snapshot of {0} s ago: {1} boxes used at once, {2} asked first, "
+                    + "{3} left out",
+                    ageS, use.size(), asked.size(), gone);
+        }
+        recalled = use.size();
+        List<Target> targets = new ArrayList<>(known.targets());
+        targets.addAll(use.keySet());
+        return new ServerList(known.revision(), true, targets);
+    }
+
+    /** Takes up what a snapshot says of who is there; what may be used of it at once. */
+    private Map<Target, Double> weigh(Snapshot snapshot, ServerList known, long nowMs) {
+        Recollection recollection = Recollection.of(snapshot, known, nowMs, settings.rules());
+        gone += recollection.dropped();
+        if (snapshot == null) {
+            return recollection.use();
+        }
+        Map<String, BoxState> states = new HashMap<>();
+        snapshot.boxes().forEach(b -> states.put(b.target().id(), b));
+        recollection.use().keySet().forEach(t -> {
+            BoxState state = states.get(t.id());
+            sightings.saw(t.id(), state.confirmedMs(), state.by());
+            unsure.add(t.id());
+            toKnock.add(t);
+        });
+        recollection.ask().forEach(t -> {
+            if (asked.putIfAbsent(t.id(), states.get(t.id())) == null) {
+                sightings.remember(states.get(t.id()));
+                toKnock.add(t);
+            }
+        });
+        return recollection.use();
+    }
+
+    @Override
+    public void started(Dispatcher of, Stall loopStall, Clock nodeClock) {
+        dispatcher = of;
+        stall = loopStall;
+        clock = nodeClock;
+        long nowMs = nowMs();
+        if (old != null) {
+            recall(old, "the snapshot");
+            knock();
+        }
+        if (keeper != null) {
+            scheduleWrite();
+        }
+        if (secret != null && settings.give() != null) {
+            giver = new Giver(loop, network, secret, random, this::pieces);
+            giver.listen(group, settings.give());
+        }
+        if (secret != null && !settings.ask().isEmpty()) {
+            Deque<InetSocketAddress> left = new ArrayDeque<>(settings.ask());
+            askNext(left, nowMs + settings.withinMs());
+            clock.at(clock.nowUs() + 1_000 * settings.waitMs(), this::prepared);
+        } else {
+            prepared();
+        }
+    }
+
+    private long nowMs() {
+        return clock.nowUs() / 1_000;
+    }
+
+    private void knock() {
+        toKnock.forEach(knocker::knock);
+        toKnock.clear();
+    }
+
+    /** Has the module begin with what a snapshot knows, as far as it is believed. */
+    private void recall(Snapshot snapshot, String what) {
+        long nowMs = nowMs();
+        Set<Trouble> doubts = Doubt.of(snapshot, nowMs);
+        if (!doubts.isEmpty()) {
+            LOG.log(Level.INFO, "{0} is not believed in how its boxes are: {1}", what,
+                    String.join(", ", doubts.stream().map(Trouble::words).sorted().toList()));
+        }
+        Map<String, Double> trust = new HashMap<>();
+        for (BoxState box : snapshot.boxes()) {
+            // One that discovery or its own word has named since is no less sure than any.
+            if (unsure.contains(box.target().id())) {
+                trust.put(box.target().id(), Recollection.sure(box, nowMs, settings.rules()));
+            }
+        }
+        dispatcher.recall(Priors.of(snapshot, classNames, nowMs, doubts.isEmpty(), trust));
+    }
+
+    @Override
+    public void whenPrepared(Runnable ready) {
+        whenPrepared = ready;
+        if (prepared) {
+            ready.run();
+        }
+    }
+
+    private void prepared() {
+        if (!prepared) {
+            prepared = true;
+            if (whenPrepared != null) {
+                whenPrepared.run();
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- from a node that runs
+
+    private void askNext(Deque<InetSocketAddress> left, long untilMs) {
+        InetSocketAddress address = left.poll();
+        if (address == null || nowMs() >= untilMs || closed) {
+            prepared();
+            return;
+        }
+        callOff = new Taker(loop, network, secret, random).ask(address, untilMs - nowMs(),
+                (snapshot, whole, why) -> {
+                    if (closed) {
+                        return;
+                    }
+                    if (why != null) {
+                        LOG.log(Level.INFO, "the handover from {0}{1}: {2}", address,
+                                snapshot == null ? " gave nothing" : " is used as far as it came", why);
+                    }
+                    boolean healthy = false;
+                    if (snapshot != null) {
+                        taken(snapshot, address);
+                        healthy = whole && Doubt.of(snapshot, nowMs()).isEmpty();
+                    }
+                    if (healthy) {
+                        prepared();
+                    } else {
+                        askNext(left, untilMs);
+                    }
+                });
+    }
+
+    private void taken(Snapshot snapshot, InetSocketAddress from) {
+        given += snapshot.boxes().size();
+        LOG.log(Level.INFO, "{0} boxes are handed over from {1}", snapshot.boxes().size(), from);
+        if (!sightings.hasList()) {
+            Map<Target, Double> use = weigh(snapshot, new ServerList(listRevision, true, dispatcher.known()),
+                    nowMs());
+            knock();
+            recalled += use.size();
+            tell(List.copyOf(use.keySet()));
+        }
+        recall(snapshot, "the node at " + from);
+    }
+
+    // ---------------------------------------------------------------- who is there
+
+    private void found(Target target, Knocker.Found found) {
+        if (sightings.hasList()) {
+            return;
+        }
+        boolean used = unsure.remove(target.id());
+        BoxState before = asked.remove(target.id());
+        switch (found) {
+            case HERE -> {
+                if (settings.identify() != null) {
+                    sightings.saw(target.id(), nowMs(), Confirmed.IDENTITY);
+                }
+                if (before != null) {
+                    recalled++;
+                    sightings.forgetUnused(target.id());
+                    tell(List.of(target));
+                    dispatcher.recall(Priors.ofUnsure(before, classNames.size(), Recollection.sure(before,
+                            nowMs(), settings.rules())));
+                }
+            }
+            case STRANGER -> {
+                sightings.forget(target.id());
+                giveUp(target, used, "somebody else is at its address");
+            }
+            default -> {
+                // Were most taken away, the fault would more likely be here than there.
+                if (2 * (gone + 1) < recalled) {
+                    giveUp(target, used, "nobody is at its address");
+                }
+            }
+        }
+    }
+
+    private void giveUp(Target target, boolean used, String why) {
+        if (used) {
+            gone++;
+            LOG.log(Level.INFO, "box {0} is given up: {1}", target.id(), why);
+            tell(List.of(new Target(target.id(), target.address(), target.zone(), target.cell(),
+                    ServerState.GONE, target.weight(), target.bootMs())));
+        }
+    }
+
+    private void tell(List<Target> changes) {
+        if (!changes.isEmpty()) {
+            dispatcher.onList(new ServerList(0, false, changes));
+        }
+    }
+
+    // ---------------------------------------------------------------- discovery
+
+    @Override
+    public void heard() {
+        sightings.heard(nowMs());
+    }
+
+    @Override
+    public void listed(ServerList list) {
+        if (list.all()) {
+            if (!sightings.hasList()) {
+                knocker.close();
+                unsure.clear();
+                asked.clear();
+                LOG.log(Level.INFO, "discovery''s list is here: {0} boxes", list.targets().size());
+            }
+            sightings.listed(nowMs(), list.revision());
+        } else {
+            sightings.revision(list.revision());
+            list.targets().forEach(t -> {
+                // Its word on one box counts, though the rest is still from before.
+                unsure.remove(t.id());
+                sightings.forget(t.id());
+                if (t.state() != ServerState.GONE) {
+                    sightings.saw(t.id(), nowMs(), Confirmed.LIST);
+                }
+            });
+        }
+    }
+
+    @Override
+    public String serving() {
+        if (sightings.hasList()) {
+            return "discovery's list";
+        }
+        return "discovery is silent; " + recalled + " boxes of a snapshot, " + gone + " given up, "
+                + knocker.left() + " being asked, " + given + " from other nodes";
+    }
+
+    // ---------------------------------------------------------------- what is kept
+
+    private void scheduleWrite() {
+        nextWrite = clock.at(clock.nowUs() + 1_000 * settings.everyMs(), () -> {
+            if (!writing) {
+                collect(false, () -> { });
+            }
+            scheduleWrite();
+        });
+    }
+
+    private Set<Trouble> troubles(Knowledge knowledge) {
+        return Doubt.ofSelf(knowledge, stall.us(), nowMs() - startedMs);
+    }
+
+    /** For a handover: piece by piece, each as things are when it is made. */
+    private Iterator<byte[]> pieces() {
+        Knowledge knowledge = dispatcher.knowledge(List.of());
+        return Sightings.pieces(sightings.new Cursor(dispatcher, this::nowMs, PieceCodec.BOXES),
+                origin(knowledge), sightings.classes(knowledge));
+    }
+
+    private Origin origin(Knowledge knowledge) {
+        return sightings.origin(random.nextLong(), nowMs(), startedMs, troubles(knowledge));
+    }
+
+    /** Goes through all boxes, a part in each turn or all at once, and has the snapshot written. */
+    private void collect(boolean atOnce, Runnable done) {
+        writing = true;
+        Knowledge knowledge = dispatcher.knowledge(List.of());
+        Origin origin = origin(knowledge);
+        List<ClassState> classes = sightings.classes(knowledge);
+        Sightings.Cursor cursor = sightings.new Cursor(dispatcher, this::nowMs, A_TURN);
+        collect(cursor, new ArrayList<>(), atOnce, boxes -> write(origin, classes, boxes, done));
+    }
+
+    private void collect(Sightings.Cursor cursor, List<BoxState> boxes, boolean atOnce,
+            Consumer<List<BoxState>> whole) {
+        do {
+            boxes.addAll(cursor.next());
+        } while (atOnce && cursor.hasNext());
+        if (cursor.hasNext()) {
+            loop.execute(() -> collect(cursor, boxes, false, whole));
+        } else {
+            whole.accept(boxes);
+        }
+    }
+
+    private void write(Origin origin, List<ClassState> classes, List<BoxState> boxes, Runnable done) {
+        if (boxes.isEmpty()) {
+            // Nobody was seen: what was kept before says more.
+            writing = false;
+            done.run();
+            return;
+        }
+        writer.execute(() -> {
+            String failure = null;
+            try {
+                keeper.write(encode(origin, classes, boxes));
+            } catch (IOException | RuntimeException e) {
+                failure = e.toString();
+            }
+            String why = failure;
+            try {
+                loop.execute(() -> {
+                    writing = false;
+                    wrote(why);
+                    done.run();
+                });
+            } catch (RejectedExecutionException e) {
+                // The node has ended meanwhile, and waits for nothing any more.
+                LOG.log(Level.DEBUG, "a snapshot was written after the end");
+            }
+        });
+    }
+
+    static List<byte[]> encode(Origin origin, List<ClassState> classes, List<BoxState> boxes) {
+        int count = PieceCodec.pieces(boxes.size());
+        List<byte[]> pieces = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            pieces.add(PieceCodec.write(i, count, origin, classes, boxes.subList(i * PieceCodec.BOXES,
+                    Math.min(boxes.size(), (i + 1) * PieceCodec.BOXES))));
+        }
+        return pieces;
+    }
+
+    /** Says it once when it begins to fail, and once when it works again. */
+    private void wrote(String failure) {
+        if (failure != null && !failing) {
+            LOG.log(Level.WARNING, "what the node knows can''t be kept: {0}", failure);
+        } else if (failure == null && failing) {
+            LOG.log(Level.INFO, "what the node knows is kept again");
+        }
+        failing = failure != null;
+    }
+
+    @Override
+    public void stop(Runnable done) {
+        callOff.run();
+        knocker.close();
+        if (giver != null) {
+            giver.close();
+        }
+        if (keeper == null) {
+            done.run();
+            return;
+        }
+        nextWrite.cancel();
+        boolean[] over = new boolean[1];
+        Runnable once = () -> {
+            if (!over[0]) {
+                over[0] = true;
+                done.run();
+            }
+        };
+        // A disk that doesn't answer must not keep a node that has been told to stop.
+        clock.at(clock.nowUs() + 1_000 * STOP_MS, once);
+        if (writing) {
+            once.run();
+        } else {
+            collect(true, once);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        if (nextWrite != null) {
+            nextWrite.cancel();
+        }
+        callOff.run();
+        knocker.close();
+        if (giver != null) {
+            giver.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/recovery/RecoveryProver.java
@@ -0,0 +1,202 @@
+package vetchpost.recovery;
+
+import java.net.InetSocketAddress;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import vetchpost.discovery.ServerListParser;
+import vetchpost.routes.Position;
+import vetchpost.routes.Section;
+import vetchpost.routes.Section.Entry;
+import vetchpost.routes.Section.Kind;
+import vetchpost.routes.Violation;
+import vetchpost.routes.Violation.Rule;
+import vetchpost.state.Recollection;
+
+/** Reads the tables of an operator's file that speak of state and handovers. It does no I/O. */
+public final class RecoveryProver {
+    private static final List<String> STATE = List.of("file", "every", "box-life", "address-kept",
+            "identify");
+    private static final List<String> HANDOVER = List.of("listen", "ask", "secret-file", "wait", "within");
+    private static final Pattern DURATION = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(ms|s|m|h|d)");
+    private static final Pattern PATH = Pattern.compile("/[\\x21-\\x7E]{0,255}");
+    private static final int MOST_ASKED = 16;
+    private static final long SECOND = 1_000;
+    private static final long DAY = 86_400 * SECOND;
+
+    private final List<Violation> violations = new ArrayList<>();
+
+    /**
+     * What the tables come to.
+     *
+     * @param settings null if there is neither table, or any violation
+     */
+    public record Proof(RecoverySettings settings, List<Violation> violations) { }
+
+    private RecoveryProver() { }
+
+    /** Looks at the tables of a file that are its affair. */
+    public static Proof prove(List<Section> file) {
+        return new RecoveryProver().read(file);
+    }
+
+    private Proof read(List<Section> file) {
+        Section state = null;
+        Section handover = null;
+        for (Section section : file) {
+            state = section.kind() == Kind.STATE ? section : state;
+            handover = section.kind() == Kind.HANDOVER ? section : handover;
+        }
+        if (state == null && handover == null) {
+            return new Proof(null, List.of());
+        }
+        known(state, STATE);
+        known(handover, HANDOVER);
+        if (state != null && !state.entries().containsKey("file")) {
+            violated(state.at(), "state", Rule.OUT_OF_RANGE, "it does not say file", "file = \"...\"");
+        }
+        Path kept = path(state, "file");
+        long every = duration(state, "every", 5 * SECOND, SECOND, 600 * SECOND);
+        long life = duration(state, "box-life", DAY, 60 * SECOND, 365 * DAY);
+        long keptAt = duration(state, "address-kept", 30 * SECOND, 0, 7 * DAY);
+        String identify = text(state, "identify");
+        if (identify != null && !PATH.matcher(identify).matches()) {
+            violated(state.entries().get("identify").at(), "state", Rule.BAD_PATTERN, "identify = \""
+                    + identify
+                    + "\" is no path", "\"/who\"");
+        }
+        InetSocketAddress give = address(handover, "listen", handover == null ? null
+                : handover.entries().get("listen"));
+        List<InetSocketAddress> ask = addresses(handover);
+        Path secret = path(handover, "secret-file");
+        long wait = duration(handover, "wait", 300, 0, 5 * SECOND);
+        long within = duration(handover, "within", 2 * SECOND, 100, 30 * SECOND);
+        if (handover != null) {
+            if (give == null && ask.isEmpty() && violations.isEmpty()) {
+                violated(handover.at(), "handover", Rule.OUT_OF_RANGE, "it says neither listen nor ask",
+                        "either or both");
+            }
+            if (!handover.entries().containsKey("secret-file")) {
+                violated(handover.at(), "handover", Rule.OUT_OF_RANGE,
+                        "it does not say secret-file: a false snapshot could steer all traffic",
+                        "secret-file = \"...\"");
+            }
+            if (wait > within) {
+                violated(handover.at(), "handover", Rule.SCHEDULE, "wait is over within", "wait = \"300ms\"");
+            }
+        }
+        return new Proof(violations.isEmpty() ? new RecoverySettings(kept, every,
+                new Recollection.Rules(life, keptAt, identify != null), identify, give, ask, secret, wait,
+                        within)
+                : null, List.copyOf(violations));
+    }
+
+    private void violated(Position at, String table, Rule rule, String what, String fits) {
+        violations.add(new Violation(at, table, rule, what, fits));
+    }
+
+    private void known(Section section, List<String> keys) {
+        if (section != null) {
+            section.entries().forEach((key, entry) -> {
+                if (!keys.contains(key)) {
+                    violated(entry.at(), section.name(), Rule.UNKNOWN_KEY, "unknown key '" + key + "'",
+                            "one of " + String.join(", ", keys));
+                }
+            });
+        }
+    }
+
+    private String text(Section section, String key) {
+        Entry entry = section == null ? null : section.entries().get(key);
+        if (entry == null) {
+            return null;
+        }
+        if (entry.value() instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        violated(entry.at(), section.name(), Rule.WRONG_UNIT, key + " is no text", "\"...\"");
+        return null;
+    }
+
+    private Path path(Section section, String key) {
+        String text = text(section, key);
+        try {
+            return text == null ? null : Path.of(text);
+        } catch (InvalidPathException e) {
+            violated(section.entries().get(key).at(), section.name(), Rule.OUT_OF_RANGE, key + " is no path",
+                    "\"/var/lib/vetchpost/" + key + "\"");
+            return null;
+        }
+    }
+
+    private long duration(Section section, String key, long usual, long least, long most) {
+        String text = text(section, key);
+        if (text == null) {
+            return usual;
+        }
+        Position at = section.entries().get(key).at();
+        Matcher m = DURATION.matcher(text);
+        if (!m.matches()) {
+            violated(at, section.name(), Rule.WRONG_UNIT, key + " = \"" + text + "\" is no length of time",
+                    "a number and ms, s, m, h or d, as \"5s\",");
+            return usual;
+        }
+        double ms = Double.parseDouble(m.group(1)) * switch (m.group(2)) {
+            case "ms" -> 1;
+            case "s" -> SECOND;
+            case "m" -> 60 * SECOND;
+            case "h" -> 3_600 * SECOND;
+            default -> DAY;
+        };
+        if (ms < least || ms > most) {
+            violated(at, section.name(), Rule.OUT_OF_RANGE, key + " = \"" + text + "\"",
+                    "from " + least + "ms to " + most / SECOND + "s");
+            return usual;
+        }
+        return (long) ms;
+    }
+
+    private InetSocketAddress address(Section section, String key, Entry entry) {
+        if (entry == null) {
+            return null;
+        }
+        return address(section, key, entry.value(), entry.at());
+    }
+
+    private InetSocketAddress address(Section section, String key, Object value, Position at) {
+        try {
+            if (value instanceof String text) {
+                return ServerListParser.address(text);
+            }
+        } catch (IllegalArgumentException e) {
+            violated(at, section.name(), Rule.WRONG_UNIT, key + ": " + e.getMessage(), "\"10.0.0.1:8450\"");
+            return null;
+        }
+        violated(at, section.name(), Rule.WRONG_UNIT, key + " is no address", "\"10.0.0.1:8450\"");
+        return null;
+    }
+
+    private List<InetSocketAddress> addresses(Section section) {
+        Entry entry = section == null ? null : section.entries().get("ask");
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        if (entry == null) {
+            return addresses;
+        }
+        if (!(entry.value() instanceof List<?> list) || list.size() > MOST_ASKED) {
+            violated(entry.at(), "handover", Rule.WRONG_UNIT, "ask is no list of up to " + MOST_ASKED
+                    + " addresses", "[\"10.0.0.1:8450\"]");
+            return addresses;
+        }
+        for (Object value : list) {
+            InetSocketAddress address = address(section, "ask", value, entry.at());
+            if (address != null) {
+                addresses.add(address);
+            }
+        }
+        return addresses;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/recovery/Sightings.java
@@ -0,0 +1,191 @@
+package vetchpost.recovery;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+
+import vetchpost.core.Dispatcher;
+import vetchpost.core.ServerList.Target;
+import vetchpost.decision.Balancer.RequestClass;
+import vetchpost.decision.Knowledge;
+import vetchpost.decision.Knowledge.OfClass;
+import vetchpost.decision.Knowledge.OfServer;
+import vetchpost.state.BoxState;
+import vetchpost.state.ClassState;
+import vetchpost.state.Confirmed;
+import vetchpost.state.Origin;
+import vetchpost.state.Trouble;
+import vetchpost.state.codec.PieceCodec;
+
+/**
+ * When and how each box was last known to be there, and the snapshot made of that and of what the module
+ * knows, a part at a time.
+ */
+final class Sightings {
+    private record Sighting(long ms, Confirmed by) { }
+
+    private final List<RequestClass> classes;
+    private final Map<String, Sighting> byId = new HashMap<>();
+    /** Boxes of an old snapshot that are neither in use nor given up. */
+    private final Map<String, BoxState> remembered = new LinkedHashMap<>();
+    /** When discovery last said something; its list holds as of then. 0 until it has told one. */
+    private long listedMs;
+    private long revision;
+
+    Sightings(List<RequestClass> classes) {
+        this.classes = classes;
+    }
+
+    void saw(String id, long ms, Confirmed by) {
+        Sighting before = byId.get(id);
+        if (before == null || before.ms <= ms) {
+            byId.put(id, new Sighting(ms, by));
+        }
+    }
+
+    /** A box is known from before and not in use. */
+    void remember(BoxState box) {
+        remembered.put(box.target().id(), box);
+    }
+
+    /** A box that was known from before is in use now. */
+    void forgetUnused(String id) {
+        remembered.remove(id);
+    }
+
+    void forget(String id) {
+        remembered.remove(id);
+        byId.remove(id);
+    }
+
+    /** Discovery has told a whole list: nothing else counts any more. */
+    void listed(long nowMs, long listRevision) {
+        remembered.clear();
+        byId.clear();
+        listedMs = nowMs;
+        revision = listRevision;
+    }
+
+    /** Discovery has said something, or one more change. */
+    void heard(long nowMs) {
+        listedMs = listedMs == 0 ? 0 : nowMs;
+    }
+
+    void revision(long listRevision) {
+        revision = listRevision;
+    }
+
+    boolean hasList() {
+        return listedMs > 0;
+    }
+
+    /** Goes through all that is known, so many boxes at a time. */
+    final class Cursor implements Iterator<List<BoxState>> {
+        private final Dispatcher dispatcher;
+        private final List<Target> targets;
+        private final List<BoxState> others;
+        private final LongSupplier nowMs;
+        private final int most;
+        private int at;
+        private boolean begun;
+
+        Cursor(Dispatcher dispatcher, LongSupplier nowMs, int most) {
+            this.dispatcher = dispatcher;
+            this.nowMs = nowMs;
+            this.most = most;
+            targets = dispatcher.known();
+            Map<String, BoxState> unused = new LinkedHashMap<>(remembered);
+            targets.forEach(t -> unused.remove(t.id()));
+            others = new ArrayList<>(unused.values());
+        }
+
+        /** Boxes at most. */
+        int size() {
+            return targets.size() + others.size();
+        }
+
+        @Override
+        public boolean hasNext() {
+            return !begun || at < size();
+        }
+
+        @Override
+        public List<BoxState> next() {
+            begun = true;
+            int end = Math.min(size(), at + most);
+            List<String> ids = new ArrayList<>();
+            for (int i = at; i < Math.min(end, targets.size()); i++) {
+                ids.add(targets.get(i).id());
+            }
+            Map<String, OfServer> known = new HashMap<>();
+            dispatcher.knowledge(ids).servers().forEach(s -> known.put(s.id(), s));
+            long now = nowMs.getAsLong();
+            List<BoxState> boxes = new ArrayList<>();
+            for (; at < end; at++) {
+                if (at >= targets.size()) {
+                    boxes.add(others.get(at - targets.size()));
+                    continue;
+                }
+                BoxState box = state(targets.get(at), known.get(targets.get(at).id()), now);
+                if (box != null) {
+                    boxes.add(box);
+                }
+            }
+            return boxes;
+        }
+    }
+
+    /** One box; null if it was never known to be there: a list of unknown age is no such word. */
+    private BoxState state(Target target, OfServer known, long nowMs) {
+        Sighting seen = byId.get(target.id());
+        long ms = seen == null ? 0 : seen.ms;
+        Confirmed by = seen == null ? Confirmed.LIST : seen.by;
+        if (listedMs >= ms && listedMs > 0) {
+            ms = listedMs;
+            by = Confirmed.LIST;
+        }
+        if (known != null && known.servedAtUs() / 1_000 > ms) {
+            ms = known.servedAtUs() / 1_000;
+            by = Confirmed.ANSWER;
+        }
+        boolean told = known != null && known.answers() > 0;
+        return ms == 0 ? null : new BoxState(target, ms, by, told ? nowMs : 0, told ? known : null);
+    }
+
+    List<ClassState> classes(Knowledge knowledge) {
+        List<ClassState> states = new ArrayList<>();
+        for (OfClass known : knowledge.classes()) {
+            states.add(new ClassState(classes.get(known.index()).name(), known.answers(), known.latencyUs(),
+                    known.leastLatencyUs()));
+        }
+        return states;
+    }
+
+    Origin origin(long id, long nowMs, long startedMs, Set<Trouble> troubles) {
+        return new Origin(id, nowMs, startedMs, revision, troubles);
+    }
+
+    /** The pieces, made as they are asked for. */
+    static Iterator<byte[]> pieces(Cursor cursor, Origin origin, List<ClassState> classes) {
+        int pieces = PieceCodec.pieces(cursor.size());
+        return new Iterator<>() {
+            private int number;
+
+            @Override
+            public boolean hasNext() {
+                return number < pieces;
+            }
+
+            @Override
+            public byte[] next() {
+                List<BoxState> boxes = cursor.hasNext() ? cursor.next() : List.of();
+                return PieceCodec.write(number++, pieces, origin, classes, boxes);
+            }
+        };
+    }
+}
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -125,7 +125,7 @@
                 case FLEET -> part = part(section);
                 case UNKNOWN -> violated(section.at(), "", Rule.UNKNOWN_TABLE, "'" + section.name()
                         + "' is no table of this file", near(section.name(),
-                        List.of("defaults", "class", "route", "fleet")));
+                        List.of("defaults", "class", "route", "fleet", "state", "handover")));
                 default -> { }
             }
         }
--- a/src/main/java/vetchpost/routes/file/RouteFile.java
+++ b/src/main/java/vetchpost/routes/file/RouteFile.java
@@ -57,6 +57,10 @@
                 sections.add(section(file, Kind.DEFAULTS, "", at, table));
             } else if (key.equals("fleet") && value instanceof TomlTable table) {
                 sections.add(section(file, Kind.FLEET, "fleet", at, table));
+            } else if (key.equals("state") && value instanceof TomlTable table) {
+                sections.add(section(file, Kind.STATE, "state", at, table));
+            } else if (key.equals("handover") && value instanceof TomlTable table) {
+                sections.add(section(file, Kind.HANDOVER, "handover", at, table));
             } else if (key.equals("class") && value instanceof TomlTable table) {
                 classes(file, table, sections);
             } else if (key.equals("route") && value instanceof TomlArray array && areTables(array)) {
@@ -95,7 +99,9 @@
         Map<String, Entry> entries = new LinkedHashMap<>();
         for (String key : table.keySet()) {
             List<String> path = List.of(key);
-            entries.put(key, new Entry(table.get(path), position(file, table.inputPositionOf(path))));
+            Object value = table.get(path);
+            entries.put(key, new Entry(value instanceof TomlArray array ? array.toList() : value,
+                    position(file, table.inputPositionOf(path))));
         }
         return new Section(kind, name, at, entries);
     }
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -38,14 +38,16 @@
     /** Else a simulation's node would read the machine's clock. */
     @ArchTest
     static final ArchRule TIME_COMES_FROM_THE_LOOP = noClasses()
-            .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.net..")
+            .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.net..",
+                    "vetchpost.handover..", "vetchpost.recovery..", "vetchpost.state..")
             .should().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis");
 
     /** Else a simulation's node would open the machine's sockets. */
     @ArchTest
     static final ArchRule SOCKETS_COME_FROM_THE_NETWORK = noClasses()
-            .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.node..")
+            .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.node..",
+                    "vetchpost.handover..", "vetchpost.recovery..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty.channel.nio..",
                     "io.netty.channel.socket.nio..");
 
@@ -74,6 +76,33 @@
             .that().resideInAPackage("vetchpost.routes").should().dependOnClassesThat()
             .resideInAnyPackage("java.io..", "java.nio..", "io.netty..", "org.tomlj..");
 
+    /** What is believed of old knowledge is decided without a clock, a disk or a socket. */
+    @ArchTest
+    static final ArchRule STATE_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
+            .that().resideInAPackage("vetchpost.state").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.net",
+                    "vetchpost.state", "vetchpost.core..", "vetchpost.decision..");
+
+    @ArchTest
+    static final ArchRule THE_DISK_IS_NEVER_TOUCHED_FROM_A_LOOP = noClasses()
+            .that().resideInAnyPackage("vetchpost.recovery..", "vetchpost.handover..", "vetchpost.node..",
+                    "vetchpost.core..")
+            .should().dependOnClassesThat().resideInAPackage("vetchpost.state.disk..");
+
+    @ArchTest
+    static final ArchRule HANDOVERS_KNOW_NO_NODE = noClasses()
+            .that().resideInAnyPackage("vetchpost.handover..", "vetchpost.state..")
+            .should().dependOnClassesThat().resideInAnyPackage("vetchpost.recovery..", "vetchpost.node..",
+                    "vetchpost.http..", "vetchpost.discovery..", "vetchpost.config..", "vetchpost.daemon..");
+
+    /** A node that nothing is kept of loads nothing of this, but the name of an interface. */
+    @ArchTest
+    static final ArchRule A_NODE_DOES_NOT_KNOW_WHAT_GOES_ALONG_WITH_IT = noClasses()
+            .that().resideInAnyPackage("vetchpost.node..", "vetchpost.core..", "vetchpost.http..",
+                    "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..")
+            .should().dependOnClassesThat().resideInAnyPackage("vetchpost.recovery..", "vetchpost.handover..",
+                    "vetchpost.state..", "com.google.protobuf..", "org.apache.commons..", "at.favre..");
+
     @ArchTest
     static final ArchRule IN_SERVICE_NOTHING_IS_SIMULATED = noClasses()
             .that().resideOutsideOfPackages("vetchpost.simulation..", "vetchpost.daemon..",
--- /dev/null
+++ b/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
@@ -0,0 +1,386 @@
+package vetchpost.recovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+import vetchpost.config.Config;
+import vetchpost.core.ServerList.Target;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.handover.Secret;
+import vetchpost.net.Network;
+import vetchpost.node.Node;
+import vetchpost.state.BoxState;
+import vetchpost.state.Confirmed;
+import vetchpost.state.Origin;
+import vetchpost.state.Recollection;
+import vetchpost.state.Snapshot;
+import vetchpost.state.disk.StateFile;
+import vetchpost.testing.FakePeer;
+import vetchpost.testing.Fixture;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Whole nodes on loopback sockets that begin with what was known before, and no list. */
+@Timeout(120)
+class RecoveredNodeTest {
+    private static final long DAY_MS = 86_400_000;
+    private static final long HOUR_MS = 3_600_000;
+
+    @TempDir
+    private Path folder;
+    private EventLoopGroup group;
+    private EventLoop loop;
+    private ExecutorService writer;
+    private FakePeer discovery;
+    private final List<AutoCloseable> open = new ArrayList<>();
+    private final BlockingQueue<Long> kept = new LinkedBlockingQueue<>();
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        writer = Executors.newSingleThreadExecutor();
+        discovery = new FakePeer(FakePeer.SILENT);
+        open.add(discovery);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (AutoCloseable each : open) {
+            each.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        writer.shutdownNow();
+    }
+
+    /** A box that tells its id, or what stands in its place, and serves with its name. */
+    private FakePeer box(String says, String serves) throws IOException {
+        FakePeer box = new FakePeer((socket, request) -> {
+            String body = request.startsWith("GET /who ") ? says : serves;
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+        });
+        open.add(box);
+        return box;
+    }
+
+    private static BoxState state(String id, int port, long confirmedMs) {
+        return new BoxState(new Target(id, new InetSocketAddress("127.0.0.1", port), "a", 3,
+                ServerState.READY,
+                1, 0), confirmedMs, Confirmed.LIST, 0, null);
+    }
+
+    private static Snapshot snapshot(long ageMs, BoxState... boxes) {
+        long takenMs = System.currentTimeMillis() - ageMs;
+        return new Snapshot(new Origin(7, takenMs, takenMs - HOUR_MS, 41, Set.of()), List.of(),
+                List.of(boxes));
+    }
+
+    private RecoverySettings settings(String identify, long unidentifiedMs, InetSocketAddress give,
+            InetSocketAddress... ask) {
+        return new RecoverySettings(folder.resolve("boxes"), 50, new Recollection.Rules(DAY_MS,
+                unidentifiedMs,
+                identify != null), identify, give, List.of(ask), null, 2_000, 5_000);
+    }
+
+    /** A node that runs. */
+    private record Running(Node node, int port) { }
+
+    private Running start(RecoverySettings settings, Snapshot old, Keeper keeper, Secret secret,
+            FakePeer... known) throws Exception {
+        JsonObject json = Fixture.config(discovery);
+        json.add("known", JsonParser.parseString(Fixture.list(known.length, true, "Ready", known)));
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        Node node = loop.submit(() -> {
+            Node fresh = new Node(config, loop);
+            fresh.companion(new Recovery(settings, config.settings(), loop, group, Network.SYSTEM, old,
+                    secret,
+                    new SecureRandom(), keeper, writer));
+            return fresh;
+        }).get();
+        CountDownLatch ready = new CountDownLatch(1);
+        int port = ((InetSocketAddress) loop.submit(() -> node.start(group, 0, ready::countDown)).get().sync()
+                .channel().localAddress()).getPort();
+        open.add(() -> loop.submit(node::close).sync());
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        return new Running(node, port);
+    }
+
+    private long counted(List<byte[]> pieces) throws IOException {
+        long length = new StateFile(folder.resolve("boxes")).write(pieces);
+        kept.add(length);
+        return length;
+    }
+
+    private static String ask(int port, String request) throws IOException {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+            FakePeer.write(socket, request);
+            String answer = FakePeer.read(socket);
+            assertNotNull(answer, "no answer");
+            return answer;
+        }
+    }
+
+    private static String view(int port, long id) throws IOException {
+        return ask(port, Fixture.request("GET", "/view/1", id, "", ""));
+    }
+
+    private static String ready(int port) throws IOException {
+        return ask(port, "GET /ready HTTP/1.1\r\n\r\n");
+    }
+
+    /** Until it says so, or patience ends. */
+    private static String readyUntil(int port, String words) throws Exception {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        String answer = ready(port);
+        while (!answer.contains(words) && System.nanoTime() < end) {
+            Thread.onSpinWait();
+            answer = ready(port);
+        }
+        assertTrue(answer.contains(words), answer);
+        return answer;
+    }
+
+    @Test
+    void itServesAtOnceFromASnapshotOfJustNow() throws Exception {
+        FakePeer box = box("s-0", "served");
+        Running node = start(settings(null, 30_000, null), snapshot(2_000, state("s-0", box.port(),
+                System.currentTimeMillis() - 2_000)), null, null);
+        assertTrue(view(node.port, 1).endsWith("served"));
+        assertTrue(ready(node.port).contains("ready: discovery is silent; 1 boxes of a snapshot, 0 given up"),
+                ready(node.port));
+    }
+
+    @Test
+    void anOldBoxIsAskedWhoItIsBeforeItIsSentAnything() throws Exception {
+        FakePeer box = box("s-0", "served");
+        Running node = start(settings("/who", 30_000, null), snapshot(HOUR_MS, state("s-0", box.port(),
+                System.currentTimeMillis() - HOUR_MS)), null, null);
+        readyUntil(node.port, "1 boxes of a snapshot");
+        assertTrue(view(node.port, 1).endsWith("served"));
+        assertTrue(box.requests.poll().startsWith("GET /who HTTP/1.1\r\n"), "asked before anything else");
+    }
+
+    /** A retired box's address is another application's by now: its answers look like a box's. */
+    @Test
+    void nothingIsSentToSomebodyElseAtABoxesAddress() throws Exception {
+        FakePeer stranger = box("welcome to the wiki", "a wrong answer");
+        FakePeer box = box("s-1", "served");
+        Running node = start(settings("/who", 30_000, null), snapshot(7 * DAY_MS,
+                state("s-0", stranger.port(), System.currentTimeMillis() - 7 * DAY_MS),
+                state("s-1", box.port(), System.currentTimeMillis() - 7 * DAY_MS)), null, null);
+        readyUntil(node.port, "0 being asked");
+        for (int i = 0; i < 40; i++) {
+            assertTrue(view(node.port, i).endsWith("served"));
+        }
+        assertEquals(1, stranger.requests.size(), "it was asked who it is, and nothing more");
+        assertTrue(stranger.requests.poll().startsWith("GET /who "));
+    }
+
+    @Test
+    void aBoxThatCannotBeAskedIsNotUsedOnceItsAddressMayHaveChangedHands() throws Exception {
+        FakePeer stranger = box("", "a wrong answer");
+        Running node = start(settings(null, 30_000, null), snapshot(HOUR_MS, state("s-0", stranger.port(),
+                System.currentTimeMillis() - HOUR_MS)), null, null);
+        assertTrue(ready(node.port).contains("0 boxes of a snapshot, 1 given up"), ready(node.port));
+        String answer = ask(node.port, Fixture.request("GET", "/view/1", 1, "", "")
+                .replace("X-Remaining-Ms: 20000", "X-Remaining-Ms: 200"));
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+        assertTrue(stranger.accepted.isEmpty());
+    }
+
+    @Test
+    void allBoxesOfTheSnapshotAreDeadAndTheListRescues() throws Exception {
+        int dead;
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            dead = closed.getLocalPort();
+        }
+        FakePeer box = box("s-9", "served");
+        discovery.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            Fixture.line(socket, Fixture.list(50, true, "Ready", box));
+        });
+        Running node = start(settings(null, 30_000, null), snapshot(2_000,
+                state("s-0", dead, System.currentTimeMillis() - 2_000)), null, null);
+        readyUntil(node.port, "ready: discovery's list");
+        for (int i = 0; i < 10; i++) {
+            assertTrue(view(node.port, i).endsWith("served"));
+        }
+    }
+
+    /** The list names who drains and leaves out who has gone: both hold from that moment on. */
+    @Test
+    void theListTakesTheSnapshotsPlace() throws Exception {
+        FakePeer gone = box("s-0", "gone");
+        FakePeer drains = box("s-1", "drains");
+        FakePeer moved = box("s-2", "old place");
+        FakePeer place = box("s-2", "served");
+        FakePeer fresh = box("s-3", "served");
+        long ms = System.currentTimeMillis() - 2_000;
+        Running node = start(settings(null, 30_000, null), snapshot(2_000, state("s-0", gone.port(), ms),
+                state("s-1", drains.port(), ms), state("s-2", moved.port(), ms)), null, null);
+        Socket watch = FakePeer.soon(discovery.accepted);
+        discovery.nextRequest();
+        Fixture.beginWatch(watch);
+        Fixture.line(watch, "{\"rev\":50,\"all\":true,\"targets\":[" + entry("s-1", drains, "Terminating")
+                + ","
+                + entry("s-2", place, "Ready") + "," + entry("s-3", fresh, "Ready") + "]}");
+        readyUntil(node.port, "discovery's list");
+        for (FakePeer each : List.of(gone, drains, moved)) {
+            each.requests.clear();
+        }
+        for (int i = 0; i < 40; i++) {
+            assertTrue(view(node.port, i).endsWith("served"));
+        }
+        for (FakePeer each : List.of(gone, drains, moved)) {
+            assertTrue(each.requests.isEmpty());
+        }
+        assertFalse(place.requests.isEmpty());
+        assertFalse(fresh.requests.isEmpty());
+    }
+
+    private static String entry(String id, FakePeer at, String state) {
+        return "{\"uid\":\"" + id + "\",\"endpoint\":\"" + at.address() + "\",\"az\":\"a\",\"pod_group\":3,"
+                + "\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":0}";
+    }
+
+    @Test
+    void whatANodeKnowsIsKeptAndServesTheNext() throws Exception {
+        FakePeer box = box("s-0", "served");
+        Running first = start(settings(null, 30_000, null), null, this::counted, null, box);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(view(first.port, i).endsWith("served"));
+        }
+        kept.clear();
+        assertNotNull(FakePeer.soon(kept));
+        assertNotNull(FakePeer.soon(kept), "it is kept again and again");
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> first.node.stop(stopped::countDown));
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        Snapshot left = new StateFile(folder.resolve("boxes")).read(System.currentTimeMillis(), line -> { });
+        assertEquals(1, left.boxes().size());
+        assertEquals(Confirmed.ANSWER, left.boxes().get(0).by());
+        assertTrue(left.boxes().get(0).knowledge().answers() >= 20, left.toString());
+        Running second = start(settings(null, 30_000, null), left, null, null);
+        assertTrue(view(second.port, 99).endsWith("served"));
+    }
+
+    /** Nobody was ever seen: what was kept before says more than that. */
+    @Test
+    void aNodeThatHasSeenNobodyOverwritesNothing() throws Exception {
+        Path file = folder.resolve("boxes");
+        Files.write(file, new byte[] {1, 2, 3});
+        Running node = start(settings(null, 30_000, null), null, this::counted, null);
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.node.stop(stopped::countDown));
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(kept.isEmpty());
+        assertEquals(3, Files.size(file));
+    }
+
+    @Test
+    void aDiskThatFailsCostsNoRequest() throws Exception {
+        FakePeer box = box("s-0", "served");
+        CountDownLatch failures = new CountDownLatch(5);
+        Running node = start(settings(null, 30_000, null), null, pieces -> {
+            failures.countDown();
+            throw new IOException("Read-only file system");
+        }, null, box);
+        for (int i = 0; i < 20; i++) {
+            assertTrue(view(node.port, i).endsWith("served"));
+        }
+        assertTrue(failures.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(view(node.port, 99).endsWith("served"));
+    }
+
+    /** A disk that never answers keeps neither requests nor the end. */
+    @Test
+    void aDiskThatHangsHoldsNothingUp() throws Exception {
+        FakePeer box = box("s-0", "served");
+        CountDownLatch hangs = new CountDownLatch(1);
+        CountDownLatch begun = new CountDownLatch(1);
+        Running node = start(settings(null, 30_000, null), null, pieces -> {
+            begun.countDown();
+            try {
+                hangs.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return 0;
+        }, null, box);
+        assertTrue(view(node.port, 1).endsWith("served"));
+        assertTrue(begun.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        assertTrue(view(node.port, 2).endsWith("served"));
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.node.stop(stopped::countDown));
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        hangs.countDown();
+    }
+
+    private static InetSocketAddress freeAddress() throws IOException {
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return (InetSocketAddress) closed.getLocalSocketAddress();
+        }
+    }
+
+    @Test
+    void aNodeWithNeitherListNorFileLearnsFromTheOneBesideIt() throws Exception {
+        Path file = folder.resolve("secret");
+        Files.writeString(file, "a secret of at least thirty-two bytes\n");
+        Secret secret = Secret.read(file);
+        FakePeer box = box("s-0", "served");
+        InetSocketAddress give = freeAddress();
+        Running giver = start(settings(null, 30_000, give), null, null, secret, box);
+        for (int i = 0; i < 20; i++) {
+            view(giver.port, i);
+        }
+        Running taker = start(settings(null, 30_000, null, freeAddress(), give), null, null, secret);
+        assertTrue(view(taker.port, 50).endsWith("served"));
+        assertTrue(ready(taker.port).contains("1 from other nodes"), ready(taker.port));
+    }
+
+    /** Both have just started and know nothing: neither waits for the other past the stated time. */
+    @Test
+    void twoThatStartAndAskEachOtherBothServe() throws Exception {
+        Path file = folder.resolve("secret");
+        Files.writeString(file, "a secret of at least thirty-two bytes\n");
+        Secret secret = Secret.read(file);
+        FakePeer box = box("s-0", "served");
+        InetSocketAddress one = freeAddress();
+        InetSocketAddress two = freeAddress();
+        Running first = start(settings(null, 30_000, one, two), null, null, secret, box);
+        Running second = start(settings(null, 30_000, two, one), null, null, secret, box);
+        assertTrue(view(first.port, 1).endsWith("served"));
+        assertTrue(view(second.port, 2).endsWith("served"));
+    }
+}
