Simulate nodes that remember, and compare first minutes with and without

The simulated network let a server's first words overtake the handshake; no peer spoke first until now.

--- a/src/main/java/vetchpost/simulation/Result.java
+++ b/src/main/java/vetchpost/simulation/Result.java
@@ -16,13 +16,14 @@
  * @param tried requests sent
  * @param wants what clients wanted
  * @param served and got
+ * @param late of them, later than their class aims at
  * @param refused answers that were refusals
  * @param attempts at servers
  * @param repeats of them, after a request's first
  * @param faults injected, by kind
  */
 public record Result(long seed, Violation violation, List<String> before, String digest, long events,
-        long simulatedNs, int tried, int wants, int served, int refused, int attempts, int repeats,
+        long simulatedNs, int tried, int wants, int served, int late, int refused, int attempts, int repeats,
         Map<Fault.Kind, Integer> faults) {
 
     /** Whether no rule was broken. */
--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -51,6 +51,11 @@
     @Option(names = "--trace", paramLabel = "FILE", description = "Keeps all events of the one run.")
     private Path trace;
 
+    @Option(names = "--recovery",
+            description = {"Nodes keep what they know and ask each other at a start;",
+        "half of later starts have no list."})
+    private boolean recovery;
+
     @Option(names = "--shrink", description = "Prints the smallest script found that breaks the same rule.")
     private boolean shrink;
 
@@ -88,6 +93,14 @@
         }
     }
 
+    private NodeProcess.Planting planting(Plan plan) {
+        return recovery ? Remembering.of(plan) : NONE;
+    }
+
+    private Result run(Plan plan) {
+        return Simulation.run(plan, planting(plan), null);
+    }
+
     private int one(Plan plan) throws IOException {
         PrintWriter out = spec.commandLine().getOut();
         if (print) {
@@ -97,14 +110,14 @@
         }
         Result result;
         if (trace == null) {
-            result = Simulation.run(plan);
+            result = run(plan);
         } else {
             try (PrintWriter file = new PrintWriter(Files.newBufferedWriter(trace, StandardCharsets.UTF_8))) {
-                result = Simulation.run(plan, NONE, file);
+                result = Simulation.run(plan, planting(plan), file);
             }
         }
         if (shrink && !result.isGood()) {
-            Shrinker shrinker = new Shrinker(Simulation::run, result.violation().rule());
+            Shrinker shrinker = new Shrinker(this::run, result.violation().rule());
             Plan small = shrinker.shrink(plan);
             out.println("# breaks " + result.violation().rule() + ", found in " + shrinker.runs() + " runs");
             out.print(PlanText.write(small));
@@ -142,7 +155,7 @@
         PrintWriter out = spec.commandLine().getOut();
         PrintWriter err = spec.commandLine().getErr();
         SeedRuns runs = new SeedRuns(Long.parseLong(ends[0]), Long.parseLong(ends[1]), jobs,
-                n -> Simulation.run(Plan.of(n)));
+                n -> run(Plan.of(n)));
         long began = System.nanoTime();
         saidNs = began;
         runs.run((done, of, failed) -> {
--- a/src/main/java/vetchpost/simulation/Simulation.java
+++ b/src/main/java/vetchpost/simulation/Simulation.java
@@ -127,7 +127,8 @@
         int[] counts = checker.counts();
         int[] wants = clients.counts();
         return new Result(plan.seed(), violation, violation == null ? trace.last() : before, trace.digest(),
-                trace.events(), time.nanoTime(), clients.tried(), wants[0], wants[1], counts[2], counts[3],
+                trace.events(), time.nanoTime(), clients.tried(), wants[0], wants[1], wants[2], counts[2],
+                        counts[3],
                 counts[4], injected);
     }
 
--- a/src/main/java/vetchpost/simulation/net/End.java
+++ b/src/main/java/vetchpost/simulation/net/End.java
@@ -111,6 +111,12 @@
         return peer == null ? 0 : peer.consumed;
     }
 
+    /** The handshake ends so much later; nothing arrives here before. */
+    void comesUpIn(long delayNs, Runnable action) {
+        lastArrivalNs = tcp.time().nanoTime() + delayNs;
+        tcp.time().at(lastArrivalNs, action);
+    }
+
     void up(End other) {
         peer = other;
         open = true;
--- a/src/main/java/vetchpost/simulation/net/Tcp.java
+++ b/src/main/java/vetchpost/simulation/net/Tcp.java
@@ -70,7 +70,8 @@
         } else if (!listener.host.isVanished()) {
             End there = new End(this, listener.host, to, local, null);
             there.up(from);
-            time.after(delayNs(), () -> {
+            // What the other side says at once comes after its answer to the call.
+            from.comesUpIn(delayNs(), () -> {
                 if (!from.host().isDead()) {
                     from.up(there);
                     from.connected();
--- a/src/main/java/vetchpost/simulation/world/Box.java
+++ b/src/main/java/vetchpost/simulation/world/Box.java
@@ -213,6 +213,10 @@
 
     private void asked(Connection from, Message request) {
         String txn = request.field("x-txn");
+        if (txn.isEmpty() && request.start().startsWith("GET /who ")) {
+            answer(from, "HTTP/1.1 200 OK", "", id);
+            return;
+        }
         if (txn.isEmpty()) {
             from.end.put(Message.bytes(request.start().startsWith("GET /health ") ? "HTTP/1.1 200 OK"
                     : "HTTP/1.1 404 Not Found", "Content-Length: 0\r\n", ""));
--- a/src/main/java/vetchpost/simulation/world/Clients.java
+++ b/src/main/java/vetchpost/simulation/world/Clients.java
@@ -45,12 +45,14 @@
     private int open;
     private int tried;
     private int servedWants;
+    private int lateWants;
 
     /** What somebody wants done, over all tries. */
     private final class Want {
         private final String name;
         private final Classes.Kind kind;
         private final String key;
+        private final long beganMs;
         private final long endMs;
         private final SplittableRandom chance;
         private int tries;
@@ -61,7 +63,8 @@
             this.kind = kind;
             chance = world.random("want", number);
             key = Long.toHexString(chance.nextLong());
-            endMs = world.nowMs() + kind.giveUpMs();
+            beganMs = world.nowMs();
+            endMs = beganMs + kind.giveUpMs();
         }
 
         void go() {
@@ -133,6 +136,7 @@
         private void over(boolean well) {
             open--;
             servedWants += well ? 1 : 0;
+            lateWants += well && world.nowMs() - beganMs > kind.aimMs() ? 1 : 0;
         }
     }
 
@@ -286,9 +290,9 @@
         return tried;
     }
 
-    /** Wants, and how many of them were served. */
+    /** Wants, how many of them were served, and how many of those later than their class aims at. */
     public int[] counts() {
-        return new int[] {wants, servedWants};
+        return new int[] {wants, servedWants, lateWants};
     }
 
     /** Closes what is idle, at the end of a run. */
--- a/src/main/java/vetchpost/simulation/world/NodeProcess.java
+++ b/src/main/java/vetchpost/simulation/world/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import vetchpost.config.Config;
+import vetchpost.core.Companion;
 import vetchpost.core.RoutePolicy;
 import vetchpost.core.Subset;
 import vetchpost.decision.Balancer.Settings;
@@ -53,10 +54,31 @@
             return 0;
         }
 
+        /** What goes along with a start of this machine's, counted from 1; null for nothing. */
+        default Companion companion(Start start) {
+            return null;
+        }
+
+        /** Whether a start is given no list, as where there is no platform that keeps one. */
+        default boolean isUnlisted(int number, int start) {
+            return false;
+        }
+
         /** A connection of the node has been made, its pipeline still empty. */
         default void opened(Channel channel) { }
     }
 
+    /**
+     * A node that is about to begin.
+     *
+     * @param number of its machine
+     * @param start which of its starts it is, from 1
+     * @param seed of what is to be chance in it
+     */
+    public record Start(int number, int start, SimLoop loop, SimNetwork network, Settings settings,
+            long nowMs,
+            long seed) { }
+
     private final World world;
     private final Clients clients;
     private final Directory directory;
@@ -95,6 +117,12 @@
             if (planting.subset() > 0) {
                 node.subset(new Subset(number, nodes, planting.subset(), true));
             }
+            Companion companion = planting.companion(new Start(number, starts, loop, network,
+                    config.settings(),
+                    World.EPOCH_MS + world.nowMs(), world.random("companion" + number, starts).nextLong()));
+            if (companion != null) {
+                node.companion(companion);
+            }
             loop.run(() -> node.start(loop, 0, () -> { }));
         }
 
@@ -189,6 +217,11 @@
         }
         starts++;
         world.log.add("start", name(), "", starts);
+        if (planting.isUnlisted(number, starts)) {
+            toldReady.clear();
+            toldStarts.clear();
+            told.clear();
+        }
         process = new Process(Config.parse(config(), Map.of()));
         clients.knows(number, address);
     }
--- /dev/null
+++ b/src/test/java/vetchpost/simulation/FirstMinuteTest.java
@@ -0,0 +1,141 @@
+package vetchpost.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.function.LongFunction;
+import java.util.function.Supplier;
+import java.util.stream.IntStream;
+
+import vetchpost.simulation.world.NodeProcess;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A node starts anew beside one that has run for a while, with some boxes ill: the same seeds with and
+ * without what the other knows.
+ */
+@Timeout(300)
+class FirstMinuteTest {
+    static final int SEEDS = 200;
+    private static final int NODES = 2;
+    private static final int BOXES = 12;
+    private static final long RESTART_MS = 22_000;
+    private static final long AWAY_MS = 500;
+    /**
+     * One run can do worse than another by so much for chance alone: as far as two restarts a millisecond
+     * apart.
+     */
+    private static final int NOISE = 29;
+    private static final long MINUTE_MS = 60_000;
+
+    /** What did not go well, of all that was wanted: not served, or later than its class aims at. */
+    static int badly(Result result) {
+        assertTrue(result.isGood(), () -> "seed " + result.seed() + ": " + result.violation() + " "
+                + result.before());
+        return result.wants() - result.served() + result.late();
+    }
+
+    /** Some boxes are ill, each in its way, from before the restart to the end. */
+    private static Plan plan(long seed) {
+        SplittableRandom random = new SplittableRandom(seed * 977 + 3);
+        List<Fault> faults = new ArrayList<>();
+        long endMs = RESTART_MS + AWAY_MS + MINUTE_MS;
+        int ill = 2 + random.nextInt(4);
+        for (int i = 0; i < ill; i++) {
+            long atMs = 12_000 + random.nextInt(6_000);
+            Fault.Kind kind = switch (random.nextInt(4)) {
+                case 0 -> Fault.Kind.SLOW;
+                case 1 -> Fault.Kind.FAIL;
+                case 2 -> Fault.Kind.RESET;
+                default -> Fault.Kind.DEAF;
+            };
+            faults.add(new Fault(atMs, kind, i * 2, endMs - atMs, kind == Fault.Kind.SLOW
+                    ? 3 + 5 * random.nextDouble() : 0.5 + 0.5 * random.nextDouble()));
+        }
+        faults.add(new Fault(RESTART_MS, Fault.Kind.CRASH, 1, AWAY_MS, 0));
+        return new Plan(seed, NODES, BOXES, 3, false, 100, endMs, 30 + random.nextInt(40), 2, faults, null);
+    }
+
+    private static int[] run(int seeds, Supplier<NodeProcess.Planting> planting, LongFunction<Plan> plans) {
+        return IntStream.rangeClosed(1, seeds).parallel()
+                .map(seed -> badly(Simulation.run(plans.apply(seed), planting.get(), null))).toArray();
+    }
+
+    static String compare(String what, int[] cold, int[] warm) {
+        int better = 0;
+        int worse = 0;
+        int worst = 0;
+        for (int i = 0; i < cold.length; i++) {
+            better += warm[i] < cold[i] ? 1 : 0;
+            worse += warm[i] > cold[i] ? 1 : 0;
+            worst = Math.max(worst, warm[i] - cold[i]);
+        }
+        return String.format(Locale.ROOT,
+                "%s: %.2f without, %.2f with; better in %d, worse in %d seeds, by %d at most",
+                what, IntStream.of(cold).average().orElseThrow(), IntStream.of(warm).average().orElseThrow(),
+                        better,
+                worse, worst);
+    }
+
+    /** Nodes that ask each other at the beginning, so that all is the same up to the restart. */
+    private static Supplier<NodeProcess.Planting> asking(boolean again) {
+        return () -> new Remembering(NODES, false, true) {
+            @Override
+            boolean asks(int number, int start) {
+                return again || start == 1;
+            }
+        };
+    }
+
+    /** Two boxes of three fail for the last seconds before the restart, and are well just as it is over. */
+    private static Plan massFailure(long seed) {
+        List<Fault> faults = new ArrayList<>();
+        for (int box = 0; box < 8; box++) {
+            faults.add(new Fault(RESTART_MS - 3_000, Fault.Kind.SLOW, box, 3_000 + AWAY_MS - 300, 12));
+        }
+        faults.add(new Fault(RESTART_MS, Fault.Kind.CRASH, 1, AWAY_MS, 0));
+        return new Plan(seed, NODES, BOXES, 3, false, 250, RESTART_MS + AWAY_MS + MINUTE_MS / 3, 60, 2,
+                faults,
+                null);
+    }
+
+    @Test
+    void whoLearnsFromAnotherDoesBetterInItsFirstMinute() {
+        int[] cold = run(SEEDS, asking(false), FirstMinuteTest::plan);
+        int[] warm = run(SEEDS, asking(true), FirstMinuteTest::plan);
+        String figures = compare("handover", cold, warm);
+        assertTrue(mean(warm) < mean(cold) - 2, figures);
+        assertTrue(worst(cold, warm) <= NOISE, figures);
+    }
+
+    /** A node whose file is a second old does so too. */
+    @Test
+    void whoRemembersDoesBetterInItsFirstMinute() {
+        int[] cold = run(SEEDS / 2, () -> new Remembering(NODES, false, false), FirstMinuteTest::plan);
+        int[] kept = run(SEEDS / 2, () -> new Remembering(NODES, true, false), FirstMinuteTest::plan);
+        String figures = compare("file", cold, kept);
+        assertTrue(mean(kept) < mean(cold) - 1.5, figures);
+        assertTrue(worst(cold, kept) <= NOISE, figures);
+    }
+
+    @Test
+    void whoAsksAConfusedNodeDoesNoWorseThanOneThatLearnedNothing() {
+        int[] cold = run(SEEDS / 2, asking(false), FirstMinuteTest::massFailure);
+        int[] warm = run(SEEDS / 2, asking(true), FirstMinuteTest::massFailure);
+        String figures = compare("handover from a confused node", cold, warm);
+        assertTrue(mean(warm) <= mean(cold) + 1, figures);
+        assertTrue(worst(cold, warm) <= NOISE / 2, figures);
+    }
+
+    private static double mean(int[] figures) {
+        return IntStream.of(figures).average().orElseThrow();
+    }
+
+    private static int worst(int[] before, int[] after) {
+        return IntStream.range(0, before.length).map(i -> after[i] - before[i]).max().orElseThrow();
+    }
+}
--- a/src/test/java/vetchpost/simulation/SeedsTest.java
+++ b/src/test/java/vetchpost/simulation/SeedsTest.java
@@ -21,6 +21,18 @@
                 .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
     }
 
+    /** Nodes that keep what they know and ask each other, half of them given no list when they come back. */
+    @Test
+    void noSeedBreaksARuleWhereNodesRemember() throws Exception {
+        SeedRuns runs = new SeedRuns(1, SEEDS / 4, Runtime.getRuntime().availableProcessors(), seed -> {
+            Plan plan = Plan.of(seed);
+            return Simulation.run(plan, Remembering.of(plan), null);
+        });
+        runs.run((done, of, failed) -> { });
+        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
+                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
+    }
+
     @Test
     void theSameSeedGivesTheSameRun() {
         for (long seed = 1; seed <= 20; seed++) {
