--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -14,7 +14,7 @@
 final class Commands implements Runnable {
     private final CommandLine line = new CommandLine(this).addSubcommand(new ServeCommand())
             .addSubcommand(new CheckCommand()).addSubcommand(new SimulateCommand())
-            .addSubcommand(new TryCommand());
+            .addSubcommand(new TryCommand()).addSubcommand(new StateCommand());
 
     private Commands() { }
 
--- a/src/main/java/vetchpost/recovery/Recovery.java
+++ b/src/main/java/vetchpost/recovery/Recovery.java
@@ -277,9 +277,6 @@
     // ---------------------------------------------------------------- who is there
 
     private void found(Target target, Knocker.Found found) {
-        if (sightings.hasList()) {
-            return;
-        }
         boolean used = unsure.remove(target.id());
         BoxState before = asked.remove(target.id());
         switch (found) {
--- a/src/test/java/vetchpost/daemon/CommandsTest.java
+++ b/src/test/java/vetchpost/daemon/CommandsTest.java
@@ -7,6 +7,7 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -14,6 +15,10 @@
 import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
+import vetchpost.state.Snapshot;
+import vetchpost.state.States;
+import vetchpost.state.codec.PieceCodec;
+import vetchpost.state.disk.StateFile;
 import vetchpost.testing.FakePeer;
 import vetchpost.testing.Fixture;
 
@@ -76,6 +81,43 @@
         assertEquals(2, check("", "--explain", "foto"));
     }
 
+    private int state(Path file, String... more) {
+        String[] arguments = new String[more.length + 1];
+        arguments[0] = file.toString();
+        System.arraycopy(more, 0, arguments, 1, more.length);
+        out.getBuffer().setLength(0);
+        PrintWriter writer = new PrintWriter(out);
+        return new CommandLine(new StateCommand()).setOut(writer).setErr(writer).execute(arguments);
+    }
+
+    @Test
+    void whatANodeHasKeptIsShownTheIllFirst() throws Exception {
+        Path file = folder.resolve("boxes");
+        assertEquals(2, state(file));
+        assertTrue(out.toString().contains("there is no file"), out.toString());
+        Snapshot snapshot = States.of(12, 2, System.currentTimeMillis() - 1_000);
+        new StateFile(file).write(List.of(PieceCodec.write(0, 1, snapshot.origin(), snapshot.classes(),
+                snapshot.boxes())));
+        assertEquals(0, state(file, "--most", "3"));
+        String said = out.toString();
+        assertTrue(said.contains("list 41, 12 boxes"), said);
+        assertTrue(said.contains("would be believed, as far"), said);
+        List<String> boxes = said.lines().filter(l -> l.startsWith("s-")).toList();
+        assertEquals(3, boxes.size());
+        assertTrue(boxes.get(0).endsWith("ejected") && boxes.get(1).endsWith("ejected"), said);
+        assertTrue(said.contains("and 9 more"), said);
+        Files.write(file, new byte[] {1, 2, 3});
+        assertEquals(1, state(file));
+        assertTrue(out.toString().contains("too short for a snapshot"), out.toString());
+    }
+
+    @Test
+    void tablesOfStateAndHandoverAreProvedToo() throws Exception {
+        assertEquals(0, check("[state]\nfile = \"b\"\n"));
+        assertEquals(2, check("[handover]\nlisten = \"127.0.0.1:1\"\n"));
+        assertTrue(out.toString().contains("it does not say secret-file"), out.toString());
+    }
+
     @Test
     void helpIsGivenAndNoCommandIsBadUse() {
         assertEquals(0, Commands.run("--help"));
--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -22,6 +22,7 @@
 import vetchpost.testing.FakePeer;
 import vetchpost.testing.Fixture;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -113,6 +114,39 @@
         }
     }
 
+    /** By the operator's file a node keeps what it knows; the next one has nothing else, and serves. */
+    @Test
+    void whatANodeHasKeptServesTheNextOneThatIsGivenNoList() throws Exception {
+        Path folder = Files.createTempDirectory("state");
+        Path kept = folder.resolve("boxes");
+        Path routes = Files.writeString(folder.resolve("routes.toml"),
+                "[state]\nfile = \"" + kept + "\"\naddress-kept = \"1h\"\n");
+        arguments = " serve --routes " + routes;
+        JsonObject config = Fixture.config(discovery, server);
+        start(config, "");
+        for (int round = 0; round < 2; round++) {
+            try (Socket client = connect()) {
+                FakePeer.write(client, Fixture.request("GET", "/view/1", round, "", ""));
+                String answer = FakePeer.read(client);
+                assertTrue(answer != null && answer.endsWith("done"), answer);
+            }
+            process.destroy();
+            assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there");
+            assertEquals(0, process.exitValue());
+            assertTrue(Files.size(kept) > 100, "kept at its end");
+            if (round == 0) {
+                config.add("known", JsonParser.parseString(Fixture.list(0, true, "Ready")));
+                start(config, "");
+            }
+        }
+        try (var files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     @Test
     void sigtermWithARequestHeldAnswersItAndExitsWithZero() throws Exception {
         server.script(FakePeer.SILENT);
--- a/src/test/java/vetchpost/decision/PriorTest.java
+++ b/src/test/java/vetchpost/decision/PriorTest.java
@@ -148,6 +148,30 @@
         assertTrue(sure.sent.size() > 2 * node.sent.size(), sure.sent.size() + " and " + node.sent.size());
     }
 
+    /** The sum of the limits holds a node back that is one of many, and must follow what a prior changes. */
+    @Test
+    void theSumOfLimitsFollowsAPrior() {
+        Balancer.Settings settings = Node.settings();
+        settings.nodes = 16;
+        int[] out = new int[2];
+        for (int taught = 0; taught < 2; taught++) {
+            Node node = new Node(settings, 7).with(4);
+            if (taught == 1) {
+                List<OfServer> little = new ArrayList<>();
+                for (int i = 0; i < 4; i++) {
+                    little.add(of("s" + i, Integer.MAX_VALUE / 2, 0, 0, 0.25));
+                }
+                node.balancer.onPrior(node.now, new Knowledge(little, List.of(), 0, 0, false));
+            }
+            for (int i = 0; i < 12; i++) {
+                node.ask(Node.SAFE);
+            }
+            out[taught] = node.sent.size();
+        }
+        assertEquals(3, out[0]);
+        assertEquals(1, out[1]);
+    }
+
     @Test
     void nonsenseIsBounded() {
         Node node = new Node().with(3);
--- a/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
+++ b/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
@@ -35,6 +35,7 @@
 import vetchpost.state.Origin;
 import vetchpost.state.Recollection;
 import vetchpost.state.Snapshot;
+import vetchpost.state.codec.PieceCodec;
 import vetchpost.state.disk.StateFile;
 import vetchpost.testing.FakePeer;
 import vetchpost.testing.Fixture;
@@ -245,7 +246,7 @@
         FakePeer drains = box("s-1", "drains");
         FakePeer moved = box("s-2", "old place");
         FakePeer place = box("s-2", "served");
-        FakePeer fresh = box("s-3", "served");
+        FakePeer fresh = box("s-3", "served anew");
         long ms = System.currentTimeMillis() - 2_000;
         Running node = start(settings(null, 30_000, null), snapshot(2_000, state("s-0", gone.port(), ms),
                 state("s-1", drains.port(), ms), state("s-2", moved.port(), ms)), null, null);
@@ -254,19 +255,138 @@
         Fixture.beginWatch(watch);
         Fixture.line(watch, "{\"rev\":50,\"all\":true,\"targets\":[" + entry("s-1", drains, "Terminating")
                 + ","
-                + entry("s-2", place, "Ready") + "," + entry("s-3", fresh, "Ready") + "]}");
+                + entry("s-2", place, "Ready") + "]}");
         readyUntil(node.port, "discovery's list");
         for (FakePeer each : List.of(gone, drains, moved)) {
             each.requests.clear();
         }
-        for (int i = 0; i < 40; i++) {
+        for (int i = 0; i < 20; i++) {
             assertTrue(view(node.port, i).endsWith("served"));
         }
+        Fixture.line(watch, "{\"rev\":51,\"all\":false,\"targets\":[" + entry("s-2", place, "Gone") + ","
+                + entry("s-3", fresh, "Ready") + "]}");
+        int id = 100;
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        while (!view(node.port, id++).endsWith("served anew")) {
+            assertTrue(System.nanoTime() < end, "the new box never served");
+        }
         for (FakePeer each : List.of(gone, drains, moved)) {
             assertTrue(each.requests.isEmpty());
         }
-        assertFalse(place.requests.isEmpty());
-        assertFalse(fresh.requests.isEmpty());
+    }
+
+    /** It says who it is only when the list, which leaves it out, is here. */
+    @Test
+    void aBoxThatAnswersAfterTheListIsNotBroughtBack() throws Exception {
+        CountDownLatch listed = new CountDownLatch(1);
+        FakePeer slow = new FakePeer((socket, request) -> {
+            listed.await();
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ns-0");
+        });
+        open.add(slow);
+        FakePeer box = box("s-1", "served");
+        Running node = start(settings("/who", 30_000, null), snapshot(HOUR_MS, state("s-0", slow.port(),
+                System.currentTimeMillis() - HOUR_MS)), null, null);
+        slow.nextRequest();
+        Socket watch = FakePeer.soon(discovery.accepted);
+        discovery.nextRequest();
+        Fixture.beginWatch(watch);
+        Fixture.line(watch, Fixture.list(50, true, "Ready", box));
+        readyUntil(node.port, "discovery's list");
+        listed.countDown();
+        FakePeer.soon(slow.ended);
+        for (int i = 0; i < 40; i++) {
+            assertTrue(view(node.port, i).endsWith("served"));
+        }
+        assertTrue(slow.requests.isEmpty());
+    }
+
+    private static int dead() throws IOException {
+        try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return closed.getLocalPort();
+        }
+    }
+
+    @Test
+    void aBoxAtWhoseAddressNobodyIsIsGivenUp() throws Exception {
+        long ms = System.currentTimeMillis() - 2_000;
+        FakePeer box = box("", "served");
+        Running node = start(settings(null, 30_000, null), snapshot(2_000, state("s-0", box.port(), ms),
+                state("s-1", box("", "served").port(), ms), state("s-2", box("", "served").port(), ms),
+                state("s-3", dead(), ms)), null, null);
+        readyUntil(node.port, "4 boxes of a snapshot, 1 given up, 0 being asked");
+    }
+
+    /** Were half of them taken away, the fault would more likely be here than there. */
+    @Test
+    void notHalfOfTheBoxesAreGivenUp() throws Exception {
+        long ms = System.currentTimeMillis() - 2_000;
+        Running node = start(settings(null, 30_000, null), snapshot(2_000,
+                state("s-0", box("", "served").port(), ms), state("s-1", dead(), ms),
+                state("s-2", dead(), ms), state("s-3", dead(), ms)), null, null);
+        readyUntil(node.port, "4 boxes of a snapshot, 1 given up, 0 being asked");
+    }
+
+    /** Somebody takes connections there; that it is the box nobody has said. */
+    @Test
+    void aConnectionAloneDoesNotConfirmABox() throws Exception {
+        long ms = System.currentTimeMillis() - 20_000;
+        BlockingQueue<byte[]> written = new LinkedBlockingQueue<>();
+        Running node = start(settings(null, 60_000, null), snapshot(20_000, state("s-0",
+                box("", "served").port(), ms)), pieces -> {
+                    written.add(pieces.get(0));
+                    return 0;
+                }, null);
+        readyUntil(node.port, "0 being asked");
+        written.clear();
+        FakePeer.soon(written);
+        BoxState box = PieceCodec.read(FakePeer.soon(written)).part().boxes().get(0);
+        assertEquals(ms, box.confirmedMs());
+        view(node.port, 1);
+        written.clear();
+        FakePeer.soon(written);
+        box = PieceCodec.read(FakePeer.soon(written)).part().boxes().get(0);
+        assertTrue(box.confirmedMs() > ms && box.by() == Confirmed.ANSWER, box.toString());
+    }
+
+    @Test
+    void aDiskThatHangsAtTheEndIsNotWaitedForPastASecond() throws Exception {
+        FakePeer box = box("", "served");
+        CountDownLatch hangs = new CountDownLatch(1);
+        RecoverySettings often = settings(null, 30_000, null);
+        RecoverySettings rarely = new RecoverySettings(often.file(), 600_000, often.rules(), null, null,
+                List.of(),
+                null, 0, 100);
+        Running node = start(rarely, null, pieces -> {
+            try {
+                hangs.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+            return 0;
+        }, null, box);
+        assertTrue(view(node.port, 1).endsWith("served"));
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.node.stop(stopped::countDown));
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "it waits for the disk");
+        hangs.countDown();
+    }
+
+    /** A node that is asked and says nothing; the handover goes on while requests are served. */
+    @Test
+    void readinessDoesNotWaitForAHandoverPastItsTime() throws Exception {
+        Path file = folder.resolve("secret");
+        Files.writeString(file, "a secret of at least thirty-two bytes\n");
+        FakePeer silent = new FakePeer(FakePeer.SILENT);
+        open.add(silent);
+        FakePeer box = box("", "served");
+        RecoverySettings often = settings(null, 30_000, null);
+        Running node = start(new RecoverySettings(null, 1_000, often.rules(), null, null,
+                List.of(new InetSocketAddress("127.0.0.1", silent.port())), file, 100, 6_000), null, null,
+                Secret.read(file), box);
+        assertTrue(view(node.port, 1).endsWith("served"));
+        FakePeer.soon(silent.accepted);
+        assertTrue(silent.ended.isEmpty(), "ready only once the handover was over");
     }
 
     private static String entry(String id, FakePeer at, String state) {
