--- /dev/null
+++ b/benchmarks/src/main/java/vetchpost/recovery/SnapshotBenchmark.java
@@ -0,0 +1,207 @@
+package vetchpost.recovery;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+
+import vetchpost.core.Clock;
+import vetchpost.core.Dispatcher;
+import vetchpost.core.ServerList;
+import vetchpost.core.ServerList.Target;
+import vetchpost.core.ServerTransport;
+import vetchpost.core.Stall;
+import vetchpost.decision.Balancer.Group;
+import vetchpost.decision.Balancer.Repeat;
+import vetchpost.decision.Balancer.RequestClass;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.decision.Knowledge;
+import vetchpost.decision.ServiceQBalancer;
+import vetchpost.state.BoxState;
+import vetchpost.state.Confirmed;
+import vetchpost.state.Priors;
+import vetchpost.state.Snapshot;
+import vetchpost.state.codec.PieceCodec;
+import vetchpost.state.disk.StateFile;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Level;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.TearDown;
+import org.openjdk.jmh.annotations.Warmup;
+
+/**
+ * What a snapshot costs: of the loop, one turn of collecting and one piece for another node; off it, encoding
+ * and writing; at a start, reading and taking it in.
+ */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class SnapshotBenchmark {
+    private static final long NOW_MS = 1_767_225_600_000L;
+    private static final int A_TURN = 500;
+
+    @Param({"12", "1000", "10000"})
+    private int boxes;
+
+    private Dispatcher dispatcher;
+    private Sightings sightings;
+    private List<BoxState> states;
+    private Snapshot snapshot;
+    private List<byte[]> pieces;
+    private Knowledge prior;
+    private Path file;
+    private StateFile kept;
+    private List<String> classNames;
+
+    /** Nothing is sent and no time passes. */
+    private static final class Still implements Clock, ServerTransport {
+        @Override
+        public long nowUs() {
+            return 1_000 * NOW_MS;
+        }
+
+        @Override
+        public Timer at(long us, Runnable task) {
+            return () -> { };
+        }
+
+        @Override
+        public void update(ServerList list) { }
+
+        @Override
+        public Attempt send(String serverId, Sending sending) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Attempt probe(String serverId, Report report) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void close() { }
+    }
+
+    private Settings settings() {
+        Settings settings = new Settings();
+        settings.zones.add("a");
+        for (String name : classNames) {
+            settings.classes.add(new RequestClass(name, 200_000, 0, 1_000_000, 1, 0, Repeat.SAFE, Group.ALL, 0,
+                    false));
+        }
+        return settings;
+    }
+
+    private Dispatcher dispatcher() {
+        Still still = new Still();
+        return new Dispatcher(still, new Stall(still), still, List.of("a"), () -> { }, () -> { }, 1,
+                actions -> new ServiceQBalancer(settings(), 1, actions));
+    }
+
+    /** A node that knows so many boxes, and its snapshot. */
+    @Setup(Level.Trial)
+    public void start() throws IOException {
+        classNames = List.of("view-page", "add-photo", "place-order");
+        List<Target> targets = new ArrayList<>();
+        for (int i = 0; i < boxes; i++) {
+            targets.add(new Target("s-" + Integer.toHexString(0x5be20000 + i), new InetSocketAddress("10." + (1 + i
+                    / 65_000) + "." + i / 250 % 250 + "." + (1 + i % 250), 8443), "a", i % 8, ServerState.READY, 1,
+                    NOW_MS - 1_000_000));
+        }
+        dispatcher = dispatcher();
+        dispatcher.onKnownList(new ServerList(1, true, targets));
+        sightings = new Sightings(settings().classes);
+        sightings.listed(NOW_MS, 1);
+        states = new ArrayList<>();
+        for (Target target : targets) {
+            states.add(new BoxState(target, NOW_MS, Confirmed.LIST, NOW_MS,
+                    new Knowledge.OfServer(target.id(), 1_000 * target.bootMs(), 5_000, 1_000 * NOW_MS,
+                            1_000 * NOW_MS, 0, 1, 0.01, 1.1, 2.5, false, List.of(0, 0, 0))));
+        }
+        Knowledge knowledge = dispatcher.knowledge(List.of());
+        snapshot = new Snapshot(sightings.origin(7, NOW_MS, NOW_MS - 60_000, Set.of()),
+                sightings.classes(knowledge), states);
+        pieces = Recovery.encode(snapshot.origin(), snapshot.classes(), states);
+        prior = Priors.of(snapshot, classNames, NOW_MS, true, Map.of());
+        file = Files.createTempDirectory("snapshot").resolve("boxes");
+        kept = new StateFile(file);
+        System.out.println("# " + boxes + " boxes: " + kept.write(pieces) + " bytes in " + pieces.size()
+                + " pieces");
+    }
+
+    @TearDown(Level.Trial)
+    public void end() throws IOException {
+        for (String name : List.of("boxes", "boxes.old")) {
+            Files.deleteIfExists(file.resolveSibling(name));
+        }
+        Files.delete(file.getParent());
+    }
+
+    /** The longest turn of the loop for a snapshot that is kept: up to 500 boxes. */
+    @Benchmark
+    public Object loopCollectOneTurn() {
+        return sightings.new Cursor(dispatcher, () -> NOW_MS, A_TURN).next();
+    }
+
+    /** All turns together. */
+    @Benchmark
+    public Object loopCollectAll() {
+        Iterator<List<BoxState>> cursor = sightings.new Cursor(dispatcher, () -> NOW_MS, A_TURN);
+        int count = 0;
+        while (cursor.hasNext()) {
+            count += cursor.next().size();
+        }
+        return count;
+    }
+
+    /** One turn of a handover: a piece of up to 100 boxes. */
+    @Benchmark
+    public Object loopHandOverOnePiece() {
+        Knowledge knowledge = dispatcher.knowledge(List.of());
+        return Sightings.pieces(sightings.new Cursor(dispatcher, () -> NOW_MS, PieceCodec.BOXES),
+                snapshot.origin(), sightings.classes(knowledge)).next();
+    }
+
+    /** Off the loop. */
+    @Benchmark
+    public Object encode() {
+        return Recovery.encode(snapshot.origin(), snapshot.classes(), states);
+    }
+
+    /** Off the loop, with all that forces it to the disk. */
+    @Benchmark
+    public long write() throws IOException {
+        return kept.write(pieces);
+    }
+
+    /** Before the start. */
+    @Benchmark
+    public Object read() {
+        return kept.read(NOW_MS, line -> { });
+    }
+
+    /** At the start, by the module: all that is believed. */
+    @Benchmark
+    public Object takeIn() {
+        dispatcher.recall(prior);
+        return dispatcher;
+    }
+}
