Ask for readiness on one connection in the tests of recovery

Each poll opened a connection of its own, thousands a second, until 28,000 lay in TIME_WAIT and another test's stand-in box found no port free for its hold (seen in a clean clone: BindException in TryCommandTest).

--- a/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
+++ b/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
@@ -160,16 +160,22 @@
         return ask(port, "GET /ready HTTP/1.1\r\n\r\n");
     }
 
-    /** Until it says so, or patience ends. */
-    private static String readyUntil(int port, String words) throws Exception {
+    /**
+     * Asks on one connection until it says so, or patience ends: a connection each time would use up all
+     * ports.
+     */
+    private static void readyUntil(int port, String words) throws Exception {
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
-        String answer = ready(port);
-        while (!answer.contains(words) && System.nanoTime() < end) {
-            Thread.onSpinWait();
-            answer = ready(port);
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+            String answer = "";
+            while (!answer.contains(words)) {
+                assertTrue(System.nanoTime() < end, answer);
+                FakePeer.write(socket, "GET /ready HTTP/1.1\r\n\r\n");
+                answer = FakePeer.read(socket);
+                assertNotNull(answer, "the connection has ended");
+            }
         }
-        assertTrue(answer.contains(words), answer);
-        return answer;
     }
 
     @Test
@@ -267,8 +273,13 @@
                 + entry("s-3", fresh, "Ready") + "]}");
         int id = 100;
         long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
-        while (!view(node.port, id++).endsWith("served anew")) {
-            assertTrue(System.nanoTime() < end, "the new box never served");
+        try (Socket client = new Socket("127.0.0.1", node.port)) {
+            String answer = "";
+            while (answer == null || !answer.endsWith("served anew")) {
+                assertTrue(System.nanoTime() < end, "the new box never served");
+                FakePeer.write(client, Fixture.request("GET", "/view/1", id++, "", ""));
+                answer = FakePeer.read(client);
+            }
         }
         for (FakePeer each : List.of(gone, drains, moved)) {
             assertTrue(each.requests.isEmpty());
