--- a/src/test/java/vetchpost/handover/HandoverTest.java
+++ b/src/test/java/vetchpost/handover/HandoverTest.java
@@ -28,10 +28,10 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 import vetchpost.net.Network;
-import vetchpost.state.BoxState;
 import vetchpost.state.Snapshot;
 import vetchpost.state.States;
 import vetchpost.state.codec.PieceCodec;
+import vetchpost.state.codec.Pieces;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -71,20 +71,9 @@
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
     }
 
-    private static List<byte[]> pieces(Snapshot snapshot) {
-        int count = PieceCodec.pieces(snapshot.boxes().size());
-        List<byte[]> pieces = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            List<BoxState> part = snapshot.boxes().subList(i * PieceCodec.BOXES,
-                    Math.min(snapshot.boxes().size(), (i + 1) * PieceCodec.BOXES));
-            pieces.add(PieceCodec.write(i, count, snapshot.origin(), snapshot.classes(), part));
-        }
-        return pieces;
-    }
-
     private InetSocketAddress giver(Snapshot snapshot, String... secrets) throws Exception {
         Giver giver = new Giver(loop, Network.SYSTEM, Secret.of(secrets), new SecureRandom(),
-                () -> pieces(snapshot).iterator());
+                () -> Pieces.of(snapshot).iterator());
         return (InetSocketAddress) giver.listen(group,
                 new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
                 .sync().channel().localAddress();
@@ -146,7 +135,7 @@
         Taken taken = take(scripted((giver, socket) -> {
             giver.greet();
             giver.prove();
-            for (byte[] piece : pieces(KNOWN)) {
+            for (byte[] piece : Pieces.of(KNOWN)) {
                 giver.out.write(giver.piece(piece));
             }
             giver.out.write(giver.piece(new byte[0]));
@@ -164,7 +153,7 @@
         Taken lied = take(scripted((giver, socket) -> {
             giver.greet();
             giver.out.write(ScriptedGiver.framed(new byte[32]));
-            giver.out.write(ScriptedGiver.framed(pieces(KNOWN).get(0), new byte[32]));
+            giver.out.write(ScriptedGiver.framed(Pieces.of(KNOWN).get(0), new byte[32]));
         }), SECRET, PLENTY_MS);
         assertNull(lied.snapshot);
         assertEquals("it doesn't know the secret", lied.why);
@@ -180,7 +169,7 @@
     /** All that came before the cut is of use; nothing that came in part is. */
     @Test
     void aHandoverCutAtEveryPieceGivesWhatCameBefore() throws Exception {
-        List<byte[]> pieces = pieces(KNOWN);
+        List<byte[]> pieces = Pieces.of(KNOWN);
         for (int cut = 0; cut <= pieces.size(); cut++) {
             for (boolean midPiece : new boolean[] {false, true}) {
                 int whole = cut;
@@ -210,8 +199,8 @@
         Taken taken = take(scripted((giver, socket) -> {
             giver.greet();
             giver.prove();
-            giver.out.write(giver.piece(pieces(KNOWN).get(0)));
-            byte[] slow = giver.piece(pieces(KNOWN).get(1));
+            giver.out.write(giver.piece(Pieces.of(KNOWN).get(0)));
+            byte[] slow = giver.piece(Pieces.of(KNOWN).get(1));
             socket.setSoTimeout(20);
             for (byte each : slow) {
                 giver.out.write(each);
@@ -276,7 +265,7 @@
             giver.greet();
             recorded.add(giver.proof());
             giver.prove();
-            recorded.add(giver.piece(pieces(KNOWN).get(0)));
+            recorded.add(giver.piece(Pieces.of(KNOWN).get(0)));
             giver.out.write(recorded.get(1));
             giver.out.write(giver.piece(new byte[0]));
         });
@@ -296,8 +285,8 @@
         Taken swapped = take(scripted((giver, socket) -> {
             giver.greet();
             giver.prove();
-            byte[] one = giver.piece(pieces(KNOWN).get(0));
-            byte[] two = giver.piece(pieces(KNOWN).get(1));
+            byte[] one = giver.piece(Pieces.of(KNOWN).get(0));
+            byte[] two = giver.piece(Pieces.of(KNOWN).get(1));
             giver.out.write(two);
             giver.out.write(one);
         }), SECRET, PLENTY_MS);
@@ -306,7 +295,7 @@
         Taken leftOut = take(scripted((giver, socket) -> {
             giver.greet();
             giver.prove();
-            giver.out.write(giver.piece(pieces(KNOWN).get(0)));
+            giver.out.write(giver.piece(Pieces.of(KNOWN).get(0)));
             giver.out.write(giver.piece(new byte[0]));
         }), SECRET, PLENTY_MS);
         assertEquals("pieces are missing", leftOut.why);
@@ -374,7 +363,7 @@
         SplittableRandom random = new SplittableRandom(99);
         Set<Integer> sizes = new TreeSet<>();
         Snapshot known = States.of(230, 9, States.NOW_MS);
-        List<byte[]> pieces = pieces(known);
+        List<byte[]> pieces = Pieces.of(known);
         for (int i = 0; i < 10_000; i++) {
             CorruptedStream stream = new CorruptedStream(SECRET, pieces, random);
             stream.run();
--- a/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
+++ b/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
@@ -1,7 +1,6 @@
 package vetchpost.recovery;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
--- a/src/test/java/vetchpost/state/codec/PieceCodecTest.java
+++ b/src/test/java/vetchpost/state/codec/PieceCodecTest.java
@@ -8,13 +8,11 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.SplittableRandom;
 
-import vetchpost.state.BoxState;
 import vetchpost.state.Snapshot;
 import vetchpost.state.States;
 import vetchpost.state.Trouble;
@@ -161,7 +159,7 @@
     @Test
     void piecesArePutTogetherInAnyOrder() throws MalformedState {
         Snapshot snapshot = States.of(250, 20, States.NOW_MS);
-        List<byte[]> pieces = pieces(snapshot);
+        List<byte[]> pieces = Pieces.of(snapshot);
         assertEquals(3, pieces.size());
         Assembly assembly = new Assembly();
         for (int i : new int[] {2, 0}) {
@@ -174,24 +172,13 @@
         assertEquals(Set.copyOf(snapshot.boxes()), Set.copyOf(assembly.snapshot().boxes()));
     }
 
-    private static List<byte[]> pieces(Snapshot snapshot) {
-        int count = PieceCodec.pieces(snapshot.boxes().size());
-        List<byte[]> pieces = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            List<BoxState> part = snapshot.boxes().subList(i * PieceCodec.BOXES,
-                    Math.min(snapshot.boxes().size(), (i + 1) * PieceCodec.BOXES));
-            pieces.add(PieceCodec.write(i, count, snapshot.origin(), snapshot.classes(), part));
-        }
-        return pieces;
-    }
-
     @Test
     void piecesOfTwoSnapshotsDoNotMixAndNoneCountsTwice() throws MalformedState {
         Assembly assembly = new Assembly();
-        List<byte[]> pieces = pieces(States.of(250, 0, States.NOW_MS));
+        List<byte[]> pieces = Pieces.of(States.of(250, 0, States.NOW_MS));
         assembly.add(PieceCodec.read(pieces.get(0)));
         Snapshot before = assembly.snapshot();
-        List<byte[]> others = pieces(States.of(250, 0, States.NOW_MS + 1));
+        List<byte[]> others = Pieces.of(States.of(250, 0, States.NOW_MS + 1));
         assertThrows(MalformedState.class, () -> assembly.add(PieceCodec.read(others.get(1))));
         assertThrows(MalformedState.class, () -> assembly.add(PieceCodec.read(pieces.get(0))));
         Snapshot same = States.of(250, 0, States.NOW_MS);
@@ -199,6 +186,6 @@
         assertThrows(MalformedState.class, () -> assembly.add(PieceCodec.read(again)), "a box twice");
         assertEquals(before, assembly.snapshot(), "nothing of them was taken");
         assertFalse(assembly.isWhole());
-        assertArrayEquals(pieces.get(0), pieces(States.of(250, 0, States.NOW_MS)).get(0));
+        assertArrayEquals(pieces.get(0), Pieces.of(States.of(250, 0, States.NOW_MS)).get(0));
     }
 }
--- a/src/test/java/vetchpost/state/disk/StateFileTest.java
+++ b/src/test/java/vetchpost/state/disk/StateFileTest.java
@@ -15,11 +15,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 
-import vetchpost.state.BoxState;
 import vetchpost.state.Snapshot;
 import vetchpost.state.States;
 import vetchpost.state.codec.MalformedState;
-import vetchpost.state.codec.PieceCodec;
+import vetchpost.state.codec.Pieces;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -31,17 +30,6 @@
 
     private final List<String> lines = new ArrayList<>();
 
-    private static List<byte[]> pieces(Snapshot snapshot) {
-        int count = PieceCodec.pieces(snapshot.boxes().size());
-        List<byte[]> pieces = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
-            List<BoxState> part = snapshot.boxes().subList(i * PieceCodec.BOXES,
-                    Math.min(snapshot.boxes().size(), (i + 1) * PieceCodec.BOXES));
-            pieces.add(PieceCodec.write(i, count, snapshot.origin(), snapshot.classes(), part));
-        }
-        return pieces;
-    }
-
     private Snapshot read(Disk disk) {
         lines.clear();
         return new StateFile(disk, FILE).read(NOW, lines::add);
@@ -49,7 +37,7 @@
 
     private static byte[] bytes(Snapshot snapshot) throws IOException {
         ScriptedDisk disk = new ScriptedDisk();
-        new StateFile(disk, FILE).write(pieces(snapshot));
+        new StateFile(disk, FILE).write(Pieces.of(snapshot));
         return disk.get(FILE);
     }
 
@@ -62,9 +50,9 @@
         ScriptedDisk disk = new ScriptedDisk();
         assertNull(read(disk));
         StateFile file = new StateFile(disk, FILE);
-        file.write(pieces(FIRST));
-        file.write(pieces(SECOND));
-        long length = file.write(pieces(THIRD));
+        file.write(Pieces.of(FIRST));
+        file.write(Pieces.of(SECOND));
+        long length = file.write(Pieces.of(THIRD));
         assertEquals(THIRD, read(disk));
         assertEquals(List.of(), lines);
         assertEquals(length, disk.get(FILE).length);
@@ -77,7 +65,7 @@
     @Test
     void aWriteStoppedAtEachStepLeavesAWholeSnapshot() throws IOException {
         ScriptedDisk count = new ScriptedDisk();
-        new StateFile(count, FILE).write(pieces(THIRD));
+        new StateFile(count, FILE).write(Pieces.of(THIRD));
         int steps = count.calls() + 1;
         assertTrue(steps >= 8, steps + " steps");
         SplittableRandom chance = new SplittableRandom(14);
@@ -87,10 +75,10 @@
             for (int round = 0; round < 200; round++) {
                 ScriptedDisk disk = new ScriptedDisk();
                 StateFile file = new StateFile(disk, FILE);
-                file.write(pieces(FIRST));
-                file.write(pieces(SECOND));
+                file.write(Pieces.of(FIRST));
+                file.write(Pieces.of(SECOND));
                 disk.killAt(step);
-                assertThrows(ScriptedDisk.Killed.class, () -> file.write(pieces(THIRD)));
+                assertThrows(ScriptedDisk.Killed.class, () -> file.write(Pieces.of(THIRD)));
                 boolean power = round > 0;
                 Snapshot left = read(power ? disk.afterPowerLoss(chance) : disk.afterKill());
                 assertNotNull(left, "step " + step + ": " + lines);
@@ -99,7 +87,7 @@
                 powerLost += power ? 1 : 0;
                 // And the next process can write again over whatever lies there.
                 ScriptedDisk next = power ? disk.afterPowerLoss(chance) : disk.afterKill();
-                new StateFile(next, FILE).write(pieces(THIRD));
+                new StateFile(next, FILE).write(Pieces.of(THIRD));
                 assertEquals(THIRD, read(next));
             }
         }
@@ -123,7 +111,7 @@
                 assertEquals(FIRST, file.read(NOW, lines::add));
                 disk.killAt(step);
                 try {
-                    file.write(pieces(THIRD));
+                    file.write(Pieces.of(THIRD));
                 } catch (ScriptedDisk.Killed e) {
                     stopped++;
                 }
@@ -197,14 +185,14 @@
     void aFullDiskLeavesWhatWasThere() throws IOException {
         ScriptedDisk disk = new ScriptedDisk();
         StateFile file = new StateFile(disk, FILE);
-        file.write(pieces(FIRST));
+        file.write(Pieces.of(FIRST));
         disk.failsWith(new IOException("No space left on device"));
         for (int i = 0; i < 5; i++) {
-            assertThrows(IOException.class, () -> file.write(pieces(SECOND)));
+            assertThrows(IOException.class, () -> file.write(Pieces.of(SECOND)));
         }
         assertEquals(FIRST, read(disk));
         disk.failsWith(null);
-        file.write(pieces(SECOND));
+        file.write(Pieces.of(SECOND));
         assertEquals(SECOND, read(disk));
     }
 
@@ -238,8 +226,8 @@
     void theMachinesOwnDiskKeepsTwoGenerations(@TempDir Path folder) throws IOException {
         Path path = folder.resolve("boxes");
         StateFile file = new StateFile(path);
-        file.write(pieces(FIRST));
-        file.write(pieces(SECOND));
+        file.write(Pieces.of(FIRST));
+        file.write(Pieces.of(SECOND));
         assertEquals(SECOND, new StateFile(path).read(NOW, lines::add));
         Files.write(path, new byte[] {1, 2, 3});
         assertEquals(FIRST, new StateFile(path).read(NOW, lines::add));
@@ -248,6 +236,6 @@
         Files.createDirectory(path);
         assertEquals(FIRST, new StateFile(path).read(NOW, lines::add), "a folder is no file");
         assertThrows(IOException.class,
-                () -> new StateFile(folder.resolve("missing/boxes")).write(pieces(FIRST)));
+                () -> new StateFile(folder.resolve("missing/boxes")).write(Pieces.of(FIRST)));
     }
 }
