Hold a dead stand-in's port only once its accepting thread has ended

In a clean clone TryCommandTest failed twice with "Address already in use": a listener that is closed keeps its address until the thread on its way out of accept has left it, and the box bound its hold at once. It waits for that thread now. ServerPoolTest failed once for want of a second connection: on a busy machine the first answer came before the second request, which took its connection. The server answers once both are there.

--- a/src/main/java/vetchpost/trial/StandInBox.java
+++ b/src/main/java/vetchpost/trial/StandInBox.java
@@ -27,12 +27,15 @@
 
     private final String id;
     private final int rack;
+    private static final long ACCEPT_ENDS_MS = 5_000;
+
     private final Tally tally;
     private final int port;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final Semaphore slots = new Semaphore(SLOTS, true);
     private final Semaphore room = new Semaphore(SLOTS + ROOM);
     private volatile ServerSocket listening;
+    private Thread accepting;
     /** Holds its port while nothing listens there: no other process may be given it. */
     private Socket held;
     private volatile boolean draining;
@@ -60,7 +63,7 @@
     }
 
     private void accept(ServerSocket from) {
-        Daemon.start(id, () -> {
+        accepting = Daemon.start(id, () -> {
             while (!from.isClosed()) {
                 Socket socket = from.accept();
                 if (open.size() >= MOST_CONNECTIONS) {
@@ -139,6 +142,12 @@
     void die() throws IOException {
         listening.close();
         open.forEach(StandInBox::reset);
+        // As long as a thread is on its way out of accept, the system holds the address for it.
+        try {
+            accepting.join(ACCEPT_ENDS_MS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
         held = new Socket();
         held.setReuseAddress(true);
         held.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
--- a/src/test/java/vetchpost/http/ServerPoolTest.java
+++ b/src/test/java/vetchpost/http/ServerPoolTest.java
@@ -271,6 +271,13 @@
     void aServerFallenSilentCostsOneTimeOutAndNotOneForEachConnection() throws Exception {
         ServerPool pool = pool(server.address(), IDLE_US);
         Probe[] probes = {new Probe(1), new Probe(2)};
+        // Answered only once both are there, so that neither can use the other's connection.
+        CountDownLatch both = new CountDownLatch(2);
+        server.script((socket, request) -> {
+            both.countDown();
+            both.await();
+            FakePeer.answer("200 OK", "", "done").run(socket, request);
+        });
         start(pool, probes[0]);
         start(pool, probes[1]);
         assertEquals(Result.OK, probes[0].report().result());
