Let no answer of a box's own undo discovery's word that it drains or has gone

A node that knows a list may be told changes and never a whole list. A box that was still being asked who it is when a change said that it drains was put back as ready once it answered, which breaks the rule on drains. Its asking is void from the word on now. Found by reading the change again; the test is seen to fail without the line (the box was sent a request and served it).

--- a/src/main/java/vetchpost/recovery/Recovery.java
+++ b/src/main/java/vetchpost/recovery/Recovery.java
@@ -342,6 +342,7 @@
             list.targets().forEach(t -> {
                 // Its word on one box counts, though the rest is still from before.
                 unsure.remove(t.id());
+                asked.remove(t.id());
                 sightings.forget(t.id());
                 if (t.state() != ServerState.GONE) {
                     sightings.saw(t.id(), nowMs(), Confirmed.LIST);
--- a/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
+++ b/src/test/java/vetchpost/recovery/RecoveredNodeTest.java
@@ -311,6 +311,42 @@
         assertTrue(slow.requests.isEmpty());
     }
 
+    /**
+     * Discovery has told that it drains, and no whole list: what it says of itself then brings it back no
+     * more.
+     */
+    @Test
+    void aBoxThatAnswersAfterWordThatItDrainsIsNotBroughtBack() throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        FakePeer slow = new FakePeer((socket, request) -> {
+            told.await();
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ns-0");
+        });
+        open.add(slow);
+        FakePeer box = box("s-1", "served");
+        Running node = start(settings("/who", 30_000, null), snapshot(HOUR_MS, state("s-0", slow.port(),
+                System.currentTimeMillis() - HOUR_MS)), null, null);
+        slow.nextRequest();
+        Socket watch = FakePeer.soon(discovery.accepted);
+        discovery.nextRequest();
+        Fixture.beginWatch(watch);
+        Fixture.line(watch, "{\"rev\":50,\"all\":false,\"targets\":[" + entry("s-0", slow, "Terminating")
+                + ","
+                + entry("s-1", box, "Ready") + "]}");
+        assertTrue(view(node.port, 1).endsWith("served"));
+        told.countDown();
+        FakePeer.soon(slow.ended);
+        // The other one goes: were the first one back, it would be sent what comes now.
+        Fixture.line(watch, "{\"rev\":51,\"all\":false,\"targets\":[" + entry("s-1", box, "Gone") + "]}");
+        String answer = "served";
+        for (int i = 2; answer.endsWith("served"); i++) {
+            answer = ask(node.port, Fixture.request("GET", "/view/1", i, "", "")
+                    .replace("X-Remaining-Ms: 20000", "X-Remaining-Ms: 200"));
+        }
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+        assertTrue(slow.requests.isEmpty());
+    }
+
     private static int dead() throws IOException {
         try (ServerSocket closed = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return closed.getLocalPort();
