--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -13,8 +13,8 @@
         commandListHeading = "Commands:%n")
 final class Commands implements Runnable {
     private final CommandLine line = new CommandLine(this).addSubcommand(new ServeCommand())
-            .addSubcommand(new CheckCommand()).addSubcommand(new SimulateCommand())
-            .addSubcommand(new TryCommand()).addSubcommand(new StateCommand());
+            .addSubcommand(new CheckCommand()).addSubcommand(new StateCommand())
+            .addSubcommand(new SimulateCommand()).addSubcommand(new TryCommand());
 
     private Commands() { }
 
--- a/src/main/java/vetchpost/daemon/ServeCommand.java
+++ b/src/main/java/vetchpost/daemon/ServeCommand.java
@@ -18,8 +18,8 @@
     static final int SERVING = -1;
 
     @Option(names = "--routes", paramLabel = "FILE",
-            description = "Limits per route and class, and a part of the fleet; see docs/routes.md. "
-                + "Proved before the first request.")
+            description = "Limits per route and class, a part of the fleet (docs/routes.md), and what is "
+                + "kept and handed over (docs/state.md). Proved before the first request.")
     private Path routes;
 
     @Override
--- a/src/main/java/vetchpost/daemon/StateCommand.java
+++ b/src/main/java/vetchpost/daemon/StateCommand.java
@@ -26,8 +26,8 @@
 
 /** The command {@code state}: what a node has kept, as the next one would find it. */
 @Command(name = "state", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Shows the snapshot that a node has kept, as the next start would find it: its age,",
-            "what is known of boxes and classes, and whether that would be believed."},
+        description = {"Shows the snapshot that a node has kept, as the next start would find it.",
+            "Its age, what is known of boxes and classes, and whether that would be believed."},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:there is a snapshot", "1:there is none that can be used",
             "2:bad arguments, or no such file"})
