Let requests stand before a door on their way from the core to the module

Need: fair queues have to come before the module, which goes on deciding server, retry and refusal, and must cost nothing where there are none.

Change: the port Admission in the core, called by the Dispatcher alone and null on the platform; it is told of arrivals, first attempts and ends, lets in and refuses only from its own turn, and so never calls the module from within the module. A door that throws is taken out and what waited goes in. The module is told how long a request waited there (queuedUs, 0 without a door), so that aims count from the arrival and not from the door. A client's connection has a number.

--- a/src/main/java/vetchpost/core/ClientReply.java
+++ b/src/main/java/vetchpost/core/ClientReply.java
@@ -14,6 +14,11 @@
     /** No promise about its effect. */
     void failed(Failure why);
 
+    /** A number that all requests of a client's connection have, and no other's; 0 where there are none. */
+    default long connection() {
+        return 0;
+    }
+
     /** What to do, once, if the client leaves before its answer. */
     void whenGone(Runnable action);
 }
--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -47,6 +47,10 @@
     private final Deque<Event> events = new ArrayDeque<>();
     private RoutePolicy routes = RoutePolicy.NONE;
     private Subset subset;
+    private Admission admission;
+    private boolean advancing;
+    private Clock.Timer turn;
+    private long turnUs = Long.MAX_VALUE;
     private boolean inCall;
     private Clock.Timer wake;
 
@@ -54,29 +58,39 @@
     private record Event(Held touches, Runnable call) { }
 
     /** A request taken, until it is answered and no attempt is out. */
-    private final class Held {
+    private final class Held implements Admission.Entrant {
         private final ClientRequest request;
         private final ClientReply reply;
         private final long id;
         private final RouteBounds bounds;
         private final long deadlineUs;
+        private final long takenUs;
+        private final long arrivedUs;
         private final List<Sent> sent = new ArrayList<>(2);
+        private Admission.Entry entry;
+        private boolean offered;
         private Clock.Timer guard;
         private int out;
         private boolean over;
 
-        Held(ClientRequest request, ClientReply reply, RouteBounds bounds, long deadlineUs) {
+        Held(ClientRequest request, ClientReply reply, RouteBounds bounds, long deadlineUs, long takenUs,
+                long arrivedUs) {
             this.request = request;
             this.reply = reply;
             this.bounds = bounds;
             this.id = request.id();
             this.deadlineUs = deadlineUs;
+            this.takenUs = takenUs;
+            this.arrivedUs = arrivedUs;
         }
 
         /** Nothing is owed any more; what waits for a connection must not be sent. */
         void end() {
             if (!over) {
                 bounds.leave();
+                if (entry != null) {
+                    entry.ended();
+                }
             }
             over = true;
             guard.cancel();
@@ -88,6 +102,18 @@
             forgetIfDone();
         }
 
+        @Override
+        public void admitted() {
+            offer(this);
+        }
+
+        @Override
+        public void refused(long retryAfterUs) {
+            // A time that it may count on comes before what its route says in general.
+            reply.refused(retryAfterUs > 0 ? retryAfterUs : bounds.adviseUs(0));
+            end();
+        }
+
         void forgetIfDone() {
             if (over && out == 0) {
                 held.remove(id, this);
@@ -140,6 +166,9 @@
             }
             request.forgetIfDone();
             long tookUs = clock.nowUs() - sentUs;
+            if (admission != null && result == Result.OK) {
+                admission.served(request.request.classIndex(), tookUs);
+            }
             stallUs = Math.min(stallUs + stall.us(), tookUs);
             enter(request, () -> balancer.onOutcome(clock.nowUs(),
                     new Outcome(request.id, number, result, tookUs, request.over, null, stallUs)));
@@ -180,6 +209,9 @@
         if (wake != null) {
             wake.cancel();
         }
+        if (turn != null) {
+            turn.cancel();
+        }
         held.values().forEach(h -> h.guard.cancel());
     }
 
@@ -193,6 +225,24 @@
         subset = part;
     }
 
+    /** Has requests from now on stand before this door, or before none if it is null. */
+    public void admission(Admission door) {
+        Admission before = admission;
+        admission = door;
+        if (before != null) {
+            before.open();
+        }
+        if (turn != null) {
+            turn.cancel();
+            turnUs = Long.MAX_VALUE;
+        }
+    }
+
+    /** The door that requests stand before, or null. */
+    public Admission admission() {
+        return admission;
+    }
+
     /** How many requests are held: unanswered, or with an attempt out. */
     public int held() {
         return held.size();
@@ -216,6 +266,48 @@
         } finally {
             inCall = false;
         }
+        if (admission != null) {
+            advance();
+        }
+    }
+
+    /** Lets the door do what is due; what that brings about comes back to it in the same turn. */
+    private void advance() {
+        if (advancing || inCall) {
+            return;
+        }
+        advancing = true;
+        try {
+            admission.advance(clock.nowUs());
+        } catch (RuntimeException | Error e) {
+            doorFailed(e);
+        } finally {
+            advancing = false;
+        }
+        long at = admission == null ? Long.MAX_VALUE : admission.wakeAtUs();
+        if (at != turnUs) {
+            if (turn != null) {
+                turn.cancel();
+            }
+            turnUs = at;
+            turn = at == Long.MAX_VALUE ? null : clock.at(at, () -> {
+                turnUs = Long.MAX_VALUE;
+                if (admission != null) {
+                    advance();
+                }
+            });
+        }
+    }
+
+    /** The node goes on without a door rather than behind a broken one, and what stood there goes in. */
+    private void doorFailed(Throwable why) {
+        LOG.log(Level.ERROR, "the door has failed and is taken out", why);
+        admission = null;
+        for (Held waiting : List.copyOf(held.values())) {
+            if (!waiting.over && !waiting.offered) {
+                offer(waiting);
+            }
+        }
     }
 
     /** A fault of one call must not take the node with it; its request still gets the answer it is owed. */
@@ -260,15 +352,35 @@
         long arrivedUs = clock.nowUs() - Math.max(waitedUs, stall.us());
         long leftUs = Math.min(request.remainingUs(), bounds.totalUs());
         Held taken = new Held(request, reply, bounds,
-                arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART));
+                arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART),
+                clock.nowUs(), arrivedUs);
         held.put(request.id(), taken);
         taken.guard = clock.at(arrivedUs + leftUs, () -> expire(taken));
         reply.whenGone(() -> leave(taken));
+        if (admission == null) {
+            offer(taken);
+            return;
+        }
+        try {
+            taken.entry = admission.arrive(taken.takenUs, request, reply.connection(),
+                    taken.takenUs - arrivedUs, taken.deadlineUs, taken);
+        } catch (RuntimeException | Error e) {
+            doorFailed(e);
+            return;
+        }
+        advance();
+    }
+
+    /** Has the module decide on it. */
+    private void offer(Held taken) {
+        taken.offered = true;
         enter(taken, () -> {
+            ClientRequest request = taken.request;
             long now = clock.nowUs();
+            long queuedUs = taken.entry == null ? 0 : now - taken.takenUs;
             balancer.onRequest(now, new Request(request.id(), request.classIndex(), request.tenant(),
                     Math.max(0, taken.deadlineUs - now), request.workUs(), request.retry(),
-                    now - arrivedUs, bounds));
+                    now - taken.arrivedUs - queuedUs, queuedUs, taken.bounds));
         });
     }
 
@@ -305,6 +417,9 @@
         long now = clock.nowUs();
         long until = untilUs <= 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
         until = Math.min(until - now, request.bounds.attemptUs()) + now;
+        if (request.entry != null && request.sent.isEmpty()) {
+            request.entry.sent();
+        }
         Sent sent = new Sent(request, request.sent.size(), serverId, now, until);
         request.sent.add(sent);
         request.out++;
--- a/src/main/java/vetchpost/decision/Balancer.java
+++ b/src/main/java/vetchpost/decision/Balancer.java
@@ -115,15 +115,16 @@
      * @param workUs rough expected work on a standard core; 0 if not known
      * @param retry true if the client is known to repeat itself
      * @param waitedUs how long it may have waited before the node could read it
+     * @param queuedUs how long it has waited at the node's door since
      * @param bounds what its route allows beside what its class and the settings do
      */
     record Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
-            long waitedUs, Bounds bounds) {
+            long waitedUs, long queuedUs, Bounds bounds) {
 
         /** Of no route. */
         public Request(long id, int classIndex, int tenant, long leftUs, long workUs, boolean retry,
                 long waitedUs) {
-            this(id, classIndex, tenant, leftUs, workUs, retry, waitedUs, Bounds.NONE);
+            this(id, classIndex, tenant, leftUs, workUs, retry, waitedUs, 0, Bounds.NONE);
         }
 
         /** Read as soon as it came. */
--- a/src/main/java/vetchpost/decision/Call.java
+++ b/src/main/java/vetchpost/decision/Call.java
@@ -37,7 +37,7 @@
         arrivedAt = now;
         deadlineAt = now + Math.max(0, request.leftUs());
         aimUs = aim;
-        aimAt = Math.min(deadlineAt, now + aim - elapsedUs - request.waitedUs());
+        aimAt = Math.min(deadlineAt, now + aim - elapsedUs - request.waitedUs() - request.queuedUs());
         servers = new Server[set.maxAttempts];
         sentAt = new long[set.maxAttempts];
         results = new Result[set.maxAttempts];
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -406,7 +406,7 @@
         }
         int c = request.classIndex();
         long deadline = set.classes.get(c).deadlineUs();
-        long leftUs = request.leftUs() + request.waitedUs();
+        long leftUs = request.leftUs() + request.waitedUs() + request.queuedUs();
         boolean usual = Math.abs(leftUs - usualLeftUs[c]) <= USUAL_LEFT_WITHIN * deadline;
         usualLeftShare[c] += meanGain(++asked[c]) * ((usual ? 1 : 0) - usualLeftShare[c]);
         if (!usual && usualLeftShare[c] < USUAL_LEFT_AT) {
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -61,6 +61,7 @@
     private final RequestDecoder decoder = new RequestDecoder();
     private final Deque<Ahead> ahead = new ArrayDeque<>();
     private final long openedNs;
+    private final long number;
     private HttpReply held;
     private long heldCost;
     private long partCost;
@@ -78,6 +79,7 @@
         this.server = server;
         this.channel = channel;
         openedNs = server.nanos();
+        number = server.nextNumber();
     }
 
     /** Sets up a client's connection. */
@@ -97,6 +99,11 @@
         return asked ? answeredNs : openedNs;
     }
 
+    /** Which of its node's connections it is. */
+    long number() {
+        return number;
+    }
+
     void close() {
         channel.close();
     }
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -69,6 +69,7 @@
     private String rehearsal;
     private Supplier<String> serving;
     private boolean ready;
+    private long numbered;
     private boolean draining;
     private boolean closing;
 
@@ -189,6 +190,11 @@
         taker.take(request, reply, (nanos() - arrivedNs) / 1_000);
     }
 
+    /** The number of one more connection. */
+    long nextNumber() {
+        return ++numbered;
+    }
+
     /** The loop's time, also for a connection that has a loop of its own. */
     long nanos() {
         return loop.ticker().nanoTime();
--- a/src/main/java/vetchpost/http/HttpReply.java
+++ b/src/main/java/vetchpost/http/HttpReply.java
@@ -24,6 +24,11 @@
         this.keepAlive = keepAlive;
     }
 
+    @Override
+    public long connection() {
+        return connection.number();
+    }
+
     @Override
     public void whenGone(Runnable action) {
         whenGone = action;
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 import vetchpost.config.Config;
+import vetchpost.core.Admission;
 import vetchpost.core.Companion;
 import vetchpost.core.Dispatcher;
 import vetchpost.core.RoutePolicy;
@@ -143,6 +144,16 @@
         dispatcher.subset(part);
     }
 
+    /** Has requests stand before this door, or before none if it is null. */
+    public void admission(Admission door) {
+        dispatcher.admission(door);
+    }
+
+    /** The door that requests stand before, or null. */
+    public Admission admission() {
+        return dispatcher.admission();
+    }
+
     /** Has this go along with the node's life; before it starts. */
     public void companion(Companion with) {
         companion = with;
