Queue fairly at the door by tenant, class and client, and book true times to come back

Change: package admission. Start-time fair queueing over three levels (tenants by weight, classes by value squared, lines of clients), a door that lets in while the module has next to nothing unsent, so that the module's limits stay the only ones, refusals on arrival by the measured drain, bookings laid end to end at 0.85 of a class's max-min part, heavy clients by a space-saving sketch, all in bounded memory. [admission] in the operator's file, proved at load, taken up by SIGHUP. docs/admission.md weighs the options.

Result, on virtual time: the hard cases of the issue each have a test.

--- /dev/null
+++ b/src/main/java/vetchpost/admission/Bookings.java
@@ -0,0 +1,99 @@
+package vetchpost.admission;
+
+/**
+ * When clients were told to come back: a table of fixed size, four places to a row, in which what is past makes
+ * room. A client whose row is full gets no booking.
+ */
+final class Bookings {
+    private static final int WAYS = 4;
+    private static final int MOST_OF_ONE = 2;
+    /** A client's timers and its way here. */
+    static final long EARLY_US = 5_000;
+    /** So long after the time one has still come when told. */
+    static final long LATE_US = 500_000;
+
+    private final long[] clients;
+    private final long[] dueUs;
+    private final boolean[] inShare;
+    private final int mask;
+    private int live;
+
+    /** Places for so many, a power of two from 4 on. */
+    Bookings(int places) {
+        clients = new long[places];
+        dueUs = new long[places];
+        inShare = new boolean[places];
+        mask = places / WAYS - 1;
+    }
+
+    private int row(long client) {
+        return ((int) (client ^ client >>> 32) & mask) * WAYS;
+    }
+
+    /** The place of the first of a client's bookings that has not gone by, or -1. */
+    int find(long client, long nowUs) {
+        int row = row(client);
+        int first = -1;
+        for (int i = row; i < row + WAYS; i++) {
+            if (clients[i] == client && dueUs[i] != 0) {
+                if (nowUs > dueUs[i] + LATE_US) {
+                    drop(i);
+                } else if (first < 0 || dueUs[i] < dueUs[first]) {
+                    first = i;
+                }
+            }
+        }
+        return first;
+    }
+
+    /** Whether a client has as many as one may; it can want several things at a time. */
+    boolean isFull(long client) {
+        int row = row(client);
+        int its = 0;
+        for (int i = row; i < row + WAYS; i++) {
+            its += clients[i] == client && dueUs[i] != 0 ? 1 : 0;
+        }
+        return its >= MOST_OF_ONE;
+    }
+
+    long dueUs(int place) {
+        return dueUs[place];
+    }
+
+    /** Whether it was within its tenant's share. */
+    boolean isInShare(int place) {
+        return inShare[place];
+    }
+
+    void drop(int place) {
+        dueUs[place] = 0;
+        live--;
+    }
+
+    /** Whether there was room for it. */
+    boolean add(long client, long atUs, boolean withinShare, long nowUs) {
+        int row = row(client);
+        if (isFull(client)) {
+            return false;
+        }
+        for (int i = row; i < row + WAYS; i++) {
+            if (dueUs[i] != 0 && nowUs > dueUs[i] + LATE_US) {
+                drop(i);
+            }
+            if (dueUs[i] == 0) {
+                clients[i] = client;
+                dueUs[i] = atUs;
+                inShare[i] = withinShare;
+                live++;
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** How many there are, with those that have gone by and were not noticed yet. */
+    int size() {
+        return live;
+    }
+
+}
--- /dev/null
+++ b/src/main/java/vetchpost/admission/Flow.java
@@ -0,0 +1,38 @@
+package vetchpost.admission;
+
+import java.util.Comparator;
+
+/**
+ * One of those that share what its parent gets, in proportion to their weights: a tenant, a class of it, or a
+ * line of clients of that. Its tags are of start-time fair queueing: it starts at its parent's virtual time or
+ * where its last request finished, whichever is later, and finishes by its cost over its weight later
+ * (P. Goyal, H. Vin, H. Cheng, "Start-Time Fair Queueing", IEEE/ACM Transactions on Networking 5(5), 1997).
+ */
+abstract class Flow {
+    /** The next to be served first; of equal ones the one that has waited longer. */
+    static final Comparator<Flow> BY_START = Comparator.<Flow>comparingDouble(f -> f.start)
+            .thenComparingLong(f -> f.turn);
+    static final Comparator<Flow> BY_FINISH = Comparator.comparingDouble(f -> f.finish);
+
+    final Branch parent;
+    final int key;
+    double weight;
+    double start;
+    double finish;
+    long turn;
+    boolean ready;
+    /** Cost of all that waits in it, and how many requests that is. */
+    double backlog;
+    int waiting;
+
+    Flow(Branch parent, int key, double weight) {
+        this.parent = parent;
+        this.key = key;
+        this.weight = weight;
+    }
+
+    /** Its part of what its parent gets while all that have something waiting do, itself among them. */
+    final double share() {
+        return weight / (parent.readyWeight + (ready ? 0 : weight));
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/admission/Waiter.java
@@ -0,0 +1,69 @@
+package vetchpost.admission;
+
+import vetchpost.core.Admission.Entrant;
+import vetchpost.core.Admission.Entry;
+
+/** A request from its arrival to its end. */
+final class Waiter implements Entry {
+    /** Where it stands. */
+    enum Stage {
+        /** Just come, and turned away with the next turn. */
+        TURNED_AWAY,
+        /** In a line. */
+        WAITING,
+        /** Let in; the module has not sent it yet. */
+        UNSENT,
+        /** Sent, or over. */
+        DONE
+    }
+
+    private final FairAdmission door;
+    final Entrant entrant;
+    final int tenant;
+    final int cls;
+    /** Of its client and class. */
+    final long fingerprint;
+    final long arrivedUs;
+    /** Let in later than this it would be late. */
+    final long latestUs;
+    /** The client comes back no later than this. */
+    final long patienceUs;
+    final double cost;
+    /** Whether it has used up a part of its tenant's share, which it gives back if it is turned away. */
+    boolean inShare;
+    Stage stage = Stage.TURNED_AWAY;
+    long adviceUs;
+    /** It goes when this much has gone out of its class of its tenant, as it looked when it came. */
+    double dueAt;
+    /** Its line, or null if it goes before all lines. */
+    Line line;
+    long number;
+    Waiter before;
+    Waiter behind;
+    /** When it was let in, and how many had been sent by then. */
+    long admittedUs;
+    long sentBefore;
+
+    Waiter(FairAdmission door, Entrant entrant, int tenant, int cls, long fingerprint, long arrivedUs,
+            long latestUs, long patienceUs, double cost) {
+        this.door = door;
+        this.entrant = entrant;
+        this.tenant = tenant;
+        this.cls = cls;
+        this.fingerprint = fingerprint;
+        this.arrivedUs = arrivedUs;
+        this.latestUs = latestUs;
+        this.patienceUs = patienceUs;
+        this.cost = cost;
+    }
+
+    @Override
+    public void sent() {
+        door.sent(this);
+    }
+
+    @Override
+    public void ended() {
+        door.ended(this);
+    }
+}
--- a/src/main/java/vetchpost/daemon/CheckCommand.java
+++ b/src/main/java/vetchpost/daemon/CheckCommand.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 
+import vetchpost.admission.AdmissionProver;
 import vetchpost.config.Config;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.recovery.RecoveryProver;
@@ -58,6 +59,7 @@
         Proof proof = read.violations().isEmpty() ? Prover.prove(read.sections(), settings) : null;
         List<Violation> violations = new ArrayList<>(proof == null ? read.violations() : proof.violations());
         violations.addAll(RecoveryProver.prove(read.sections()).violations());
+        violations.addAll(AdmissionProver.prove(read.sections(), settings).violations());
         PrintWriter out = spec.commandLine().getOut();
         if (!violations.isEmpty()) {
             violations.forEach(out::println);
--- /dev/null
+++ b/src/main/java/vetchpost/daemon/DoorLoader.java
@@ -0,0 +1,29 @@
+package vetchpost.daemon;
+
+import vetchpost.admission.AdmissionSettings;
+import vetchpost.admission.FairAdmission;
+import vetchpost.config.Config;
+import vetchpost.node.Node;
+
+/** Puts the door before a node that its operator's file asks for, at the start and at each reload. */
+final class DoorLoader {
+    private DoorLoader() { }
+
+    /**
+     * Has the node have this door; what waits before the one it has goes on waiting, and goes in if there is to
+     * be none any more.
+     *
+     * @param settings null for none
+     */
+    static void settle(Node node, AdmissionSettings settings, Config config) {
+        if (settings == null) {
+            if (node.admission() != null) {
+                node.admission(null);
+            }
+        } else if (node.admission() instanceof FairAdmission door) {
+            door.settle(settings);
+        } else {
+            node.admission(new FairAdmission(settings, config.settings(), config.seed()));
+        }
+    }
+}
--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -9,7 +9,6 @@
 
 import vetchpost.config.Config;
 import vetchpost.config.Descriptors;
-import vetchpost.core.RoutePolicy;
 import vetchpost.node.Node;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -89,6 +88,7 @@
                 if (loaded.subset() != null) {
                     node.subset(loaded.subset());
                 }
+                DoorLoader.settle(node, loaded.admission(), config);
                 if (loaded.recovery() != null) {
                     node.companion(RecoveryLoader.load(loaded.recovery(), config.settings(), loop, group));
                 }
@@ -121,10 +121,11 @@
         try {
             Config config = Config.reread(environment);
             // Which part of the fleet it has, and what is kept and handed over, stay as at the start.
-            RoutePolicy policy = RouteLoader.load(routes, config.settings(), config.seed()).policy();
+            RouteLoader.Loaded loaded = RouteLoader.load(routes, config.settings(), config.seed());
             loop.execute(() -> {
                 node[0].reload(config);
-                node[0].routes(policy);
+                node[0].routes(loaded.policy());
+                DoorLoader.settle(node[0], loaded.admission(), config);
             });
         } catch (RuntimeException e) {
             LOG.log(Level.WARNING, "the configuration stays as it was: {0}", e.getMessage());
--- a/src/main/java/vetchpost/daemon/RouteLoader.java
+++ b/src/main/java/vetchpost/daemon/RouteLoader.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
+import vetchpost.admission.AdmissionProver;
+import vetchpost.admission.AdmissionSettings;
 import vetchpost.core.RoutePolicy;
 import vetchpost.core.Subset;
 import vetchpost.decision.Balancer.Group;
@@ -25,9 +27,10 @@
 
     /**
      * What a file comes to; {@code subset} is null where a node has the whole fleet, {@code recovery} where
-     * nothing is kept or handed over.
+     * nothing is kept or handed over, {@code admission} where nothing waits before the module.
      */
-    record Loaded(RoutePolicy policy, Subset subset, RecoverySettings recovery) { }
+    record Loaded(RoutePolicy policy, Subset subset, RecoverySettings recovery,
+            AdmissionSettings admission) { }
 
     /** Throws IllegalArgumentException with a line for each violation. */
     static Loaded load(Path path, Settings settings, long seed) {
@@ -42,13 +45,16 @@
         }
         Proof proof = Prover.prove(file.sections(), settings);
         RecoveryProver.Proof recovery = RecoveryProver.prove(file.sections());
-        if (!proof.holds() || !recovery.violations().isEmpty()) {
+        AdmissionProver.Proof admission = AdmissionProver.prove(file.sections(), settings);
+        if (!proof.holds() || !recovery.violations().isEmpty() || !admission.violations().isEmpty()) {
             List<Violation> violations = new ArrayList<>(proof.violations());
             violations.addAll(recovery.violations());
+            violations.addAll(admission.violations());
             throw new IllegalArgumentException(lines(violations));
         }
         return new Loaded(new FileRoutePolicy(proof.table(), settings, seed),
-                proof.part() == null ? null : subset(proof.part(), settings), recovery.settings());
+                proof.part() == null ? null : subset(proof.part(), settings), recovery.settings(),
+                admission.settings());
     }
 
     /** Where repeats must stay in a cell, a node has all of a cell or nothing. */
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -125,7 +125,8 @@
                 case FLEET -> part = part(section);
                 case UNKNOWN -> violated(section.at(), "", Rule.UNKNOWN_TABLE, "'" + section.name()
                         + "' is no table of this file", near(section.name(),
-                        List.of("defaults", "class", "route", "fleet", "state", "handover")));
+                        List.of("defaults", "class", "route", "fleet", "state", "handover",
+                        "admission")));
                 default -> { }
             }
         }
--- a/src/main/java/vetchpost/routes/Violation.java
+++ b/src/main/java/vetchpost/routes/Violation.java
@@ -12,7 +12,7 @@
     /** The rules that a file can break. */
     public enum Rule {
         SYNTAX("the file is TOML"),
-        UNKNOWN_TABLE("tables are [defaults], [class.NAME], [[route]], [fleet], [state] and [handover]"),
+        UNKNOWN_TABLE("tables are [defaults], [class.NAME], [[route]], [fleet], [state], [handover] and [admission]"),
         UNKNOWN_KEY("keys are known"),
         WRONG_UNIT("figures have their unit"),
         OUT_OF_RANGE("figures make sense"),
@@ -28,7 +28,7 @@
         PAST_WHOLE("an attempt ends within its request"),
         SCHEDULE("all attempts fit into the time in all"),
         NOT_ALLOWED("the platform's settings allow it"),
-        STARVES("no route is starved");
+        STARVES("no route and no tenant is starved");
 
         private final String words;
 
--- a/src/main/java/vetchpost/routes/file/RouteFile.java
+++ b/src/main/java/vetchpost/routes/file/RouteFile.java
@@ -61,6 +61,8 @@
                 sections.add(section(file, Kind.STATE, "state", at, table));
             } else if (key.equals("handover") && value instanceof TomlTable table) {
                 sections.add(section(file, Kind.HANDOVER, "handover", at, table));
+            } else if (key.equals("admission") && value instanceof TomlTable table) {
+                sections.add(section(file, Kind.ADMISSION, "admission", at, table));
             } else if (key.equals("class") && value instanceof TomlTable table) {
                 classes(file, table, sections);
             } else if (key.equals("route") && value instanceof TomlArray array && areTables(array)) {
@@ -100,7 +102,8 @@
         for (String key : table.keySet()) {
             List<String> path = List.of(key);
             Object value = table.get(path);
-            entries.put(key, new Entry(value instanceof TomlArray array ? array.toList() : value,
+            entries.put(key, new Entry(value instanceof TomlArray array ? array.toList()
+                    : value instanceof TomlTable inner ? inner.toMap() : value,
                     position(file, table.inputPositionOf(path))));
         }
         return new Section(kind, name, at, entries);
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -83,6 +83,14 @@
             .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.net",
                     "vetchpost.state", "vetchpost.core..", "vetchpost.decision..");
 
+    /** Who goes first, and who is told what, is decided without a clock or a socket. */
+    @ArchTest
+    static final ArchRule THE_DOOR_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
+            .that().resideInAPackage("vetchpost.admission").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.util.regex",
+                    "java.util.stream", "java.nio.charset", "vetchpost.admission", "vetchpost.core..", "vetchpost.decision..",
+                    "vetchpost.routes", "org.apache.commons.codec.digest");
+
     @ArchTest
     static final ArchRule THE_DISK_IS_NEVER_TOUCHED_FROM_A_LOOP = noClasses()
             .that().resideInAnyPackage("vetchpost.recovery..", "vetchpost.handover..", "vetchpost.node..",
@@ -101,7 +109,8 @@
             .that().resideInAnyPackage("vetchpost.node..", "vetchpost.core..", "vetchpost.http..",
                     "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..")
             .should().dependOnClassesThat().resideInAnyPackage("vetchpost.recovery..", "vetchpost.handover..",
-                    "vetchpost.state..", "com.google.protobuf..", "org.apache.commons..", "at.favre..");
+                    "vetchpost.admission..", "vetchpost.state..", "com.google.protobuf..",
+                    "org.apache.commons..", "at.favre..");
 
     @ArchTest
     static final ArchRule IN_SERVICE_NOTHING_IS_SIMULATED = noClasses()
--- /dev/null
+++ b/src/test/java/vetchpost/admission/FairAdmissionTest.java
@@ -0,0 +1,407 @@
+package vetchpost.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import vetchpost.admission.AdmissionCounts.Why;
+import vetchpost.admission.Doorway.Asked;
+import vetchpost.decision.Balancer.Group;
+import vetchpost.decision.Balancer.Repeat;
+import vetchpost.decision.Balancer.RequestClass;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.decision.Balancer.Tenant;
+import org.junit.jupiter.api.Test;
+
+/** The hard cases of the door, on virtual time. Four servers do 400 requests a second unless said. */
+class FairAdmissionTest {
+    private static final long SECOND = 1_000_000;
+    private static final long AIM = 200_000;
+
+    private static AdmissionSettings with(Settings platform, int waiting, int lines, List<Double> weights) {
+        AdmissionSettings d = AdmissionProver.defaults(platform);
+        return new AdmissionSettings(waiting, lines, d.unsent(), d.patienceUs(), d.longestUs(), d.bookings(),
+                weights);
+    }
+
+    @Test
+    void anIdleFleetLetsAllInAtOnce() {
+        Doorway way = new Doorway(4, Doorway.settings(2, AIM));
+        for (int i = 0; i < 4; i++) {
+            Asked asked = way.ask(0, "k" + i);
+            assertTrue(asked.admitted);
+        }
+        way.run(SECOND);
+        assertEquals(4, way.servedOf(0));
+        assertEquals(0, way.door.waiting());
+        assertEquals(Long.MAX_VALUE, way.door.wakeAtUs(), "an idle door wants no timer");
+    }
+
+    @Test
+    void theModuleHoldsNoMoreThanItIsToldUnsent() {
+        Doorway way = new Doorway(4, Doorway.settings(1, AIM));
+        for (int i = 0; i < 20; i++) {
+            way.ask(0, "k" + i);
+        }
+        assertEquals(6, way.all.stream().filter(a -> a.admitted).count(), "four at work and two unsent");
+        assertEquals(14, way.door.waiting());
+    }
+
+    @Test
+    void aSchoolOfOneClientGetsWhatASchoolOfAThousandGets() {
+        Doorway way = new Doorway(4, Doorway.settings(2, AIM));
+        long until = way.now + 10 * SECOND;
+        way.every(1_000, until, () -> way.ask(0, "the one"));
+        int[] n = new int[1];
+        way.every(1_000, until, () -> way.ask(1, "c" + n[0]++ % 1_000));
+        way.run(12 * SECOND);
+        double ratio = way.servedOf(0) / (double) way.servedOf(1);
+        assertTrue(ratio > 0.85 && ratio < 1.15, way.servedOf(0) + " and " + way.servedOf(1));
+        assertTrue(way.servedOf(0) + way.servedOf(1) > 3_800, "nothing of the fleet lies idle");
+    }
+
+    @Test
+    void weightsDivideWhatThereIs() {
+        Settings platform = Doorway.settings(2, AIM);
+        Doorway way = new Doorway(4, platform, with(platform, 1_000, 64, List.of(1.0, 3.0, 1.0)));
+        long until = way.now + 10 * SECOND;
+        int[] n = new int[1];
+        way.every(1_000, until, () -> way.ask(0, "a" + n[0]++ % 500));
+        way.every(1_000, until, () -> way.ask(1, "b" + n[0]++ % 500));
+        way.run(12 * SECOND);
+        double ratio = way.servedOf(0) / (double) way.servedOf(1);
+        assertTrue(ratio > 2.6 && ratio < 3.4, "three to one: " + ratio);
+    }
+
+    @Test
+    void whatOneDoesNotUseGoesToTheOthers() {
+        Doorway way = new Doorway(4, Doorway.settings(2, AIM));
+        long until = way.now + 10 * SECOND;
+        int[] n = new int[1];
+        way.every(1_000, until, () -> way.ask(0, "a" + n[0]++ % 500));
+        way.every(20_000, until, () -> way.ask(1, "b" + n[0]++ % 500));
+        way.run(12 * SECOND);
+        assertTrue(way.servedOf(1) >= 0.99 * way.askedOf(1), "the quiet one has all: " + way.servedOf(1)
+                + " of " + way.askedOf(1));
+        assertTrue(way.servedOf(0) > 3_300, "and the loud one what is left: " + way.servedOf(0));
+    }
+
+    @Test
+    void weightsChangeWithQueuesFullAndNothingIsLost() {
+        Settings platform = Doorway.settings(2, AIM);
+        Doorway way = new Doorway(4, platform, with(platform, 1_000, 64, List.of(1.0, 1.0, 1.0)));
+        long until = way.now + 20 * SECOND;
+        int[] n = new int[1];
+        way.every(1_000, until, () -> way.ask(0, "a" + n[0]++ % 500));
+        way.every(1_000, until, () -> way.ask(1, "b" + n[0]++ % 500));
+        way.run(10 * SECOND);
+        assertTrue(way.door.waiting() > 10, "queues are full");
+        long before0 = way.servedOf(0);
+        long before1 = way.servedOf(1);
+        way.door.settle(with(platform, 1_000, 64, List.of(1.0, 1.0, 4.0)));
+        way.run(12 * SECOND);
+        double ratio = (way.servedOf(1) - before1) / (double) (way.servedOf(0) - before0);
+        assertTrue(ratio > 3.3 && ratio < 4.7, "four to one from then on: " + ratio);
+        assertTrue(way.all.stream().allMatch(a -> a.endedUs >= 0), "each has its one answer");
+    }
+
+    @Test
+    void whoSpreadsOverManyKeysGainsNoMoreThanItsTenantsShare() {
+        Doorway way = new Doorway(4, Doorway.settings(2, AIM));
+        long until = way.now + 10 * SECOND;
+        int[] n = new int[1];
+        way.every(200, until, () -> way.ask(0, "liar" + n[0]++));
+        way.every(2_000, until, () -> way.ask(1, "honest" + n[0]++ % 50));
+        way.run(12 * SECOND);
+        // The honest school asks 500 a second of the 200 that are its part.
+        assertTrue(way.servedOf(1) > 1_850, "the other school keeps its half: " + way.servedOf(1));
+    }
+
+    @Test
+    void aClientInATightLoopTakesNobodysPlace() {
+        Doorway way = new Doorway(4, Doorway.settings(1, AIM));
+        long until = way.now + 5 * SECOND;
+        way.run(SECOND);
+        int[] n = new int[1];
+        way.every(10, until, () -> way.ask(0, "loop"));
+        way.every(5_000, until, () -> way.ask(0, "c" + n[0]++));
+        way.run(7 * SECOND);
+        long others = way.all.stream().filter(a -> !a.key.equals("loop")).count();
+        long served = way.all.stream().filter(a -> !a.key.equals("loop") && a.served()).count();
+        long late = way.all.stream().filter(a -> !a.key.equals("loop") && a.served()
+                && a.endedUs - a.askedUs > AIM).count();
+        assertTrue(way.all.size() > 350_000, "a hundred thousand a second: " + way.all.size());
+        assertTrue(served - late >= 0.98 * others, served - late + " of " + others);
+        assertTrue(way.door.counts().early() > 300_000, "nearly all of its tries were one look each: "
+                + way.door.counts().early());
+        assertTrue(way.door.kept()[0] < 100 && way.door.kept()[1] < 50, "and nothing is kept of them: "
+                + way.door.kept()[0] + " flows, " + way.door.kept()[1] + " bookings");
+    }
+
+    @Test
+    void tenThousandClientsInAMinuteCostAFixedAmount() {
+        Doorway way = new Doorway(4, Doorway.settings(6, AIM));
+        long until = way.now + 60 * SECOND;
+        int[] n = new int[1];
+        int[] most = new int[2];
+        way.every(2_000, until, () -> {
+            way.ask(n[0] % 6, "c" + n[0]++ % 10_000);
+            int[] kept = way.door.kept();
+            most[0] = Math.max(most[0], kept[0]);
+            most[1] = Math.max(most[1], kept[1]);
+        });
+        way.run(61 * SECOND);
+        assertEquals(29_999, n[0]);
+        // Root, tenants, classes, and lines: shared and of heavy clients.
+        int lines = 64 + HeavyHitters.PLACES;
+        assertTrue(most[0] <= 1 + 6 * 2 * (1 + lines), most[0] + " flows");
+        assertTrue(most[1] <= 16_384, most[1] + " bookings");
+        assertEquals(0, way.door.waiting());
+    }
+
+    @Test
+    void tenantsThatVanishAreForgotten() {
+        Settings platform = Doorway.settings(5_000, AIM);
+        Doorway way = new Doorway(4, platform);
+        int[] n = new int[1];
+        way.every(500, way.now + 10 * SECOND, () -> way.ask(n[0]++ % 5_000, "k"));
+        way.run(10 * SECOND);
+        assertTrue(way.door.kept()[2] > 4_000, "thousands have been here: " + way.door.kept()[2]);
+        way.run(15 * SECOND);
+        way.ask(0, "k");
+        way.run(15 * SECOND);
+        way.ask(0, "k");
+        assertTrue(way.door.kept()[2] <= 1, "and have gone: " + way.door.kept()[2]);
+        assertTrue(way.door.kept()[0] <= 4, "with their flows: " + way.door.kept()[0]);
+        assertTrue(way.all.stream().limit(n[0]).allMatch(a -> a.endedUs >= 0));
+    }
+
+    @Test
+    void whatCantBeInTimeIsRefusedAsItComes() {
+        Doorway way = new Doorway(4, Doorway.settings(1, AIM));
+        long until = way.now + 10 * SECOND;
+        int[] n = new int[1];
+        way.every(1_000, until, () -> way.ask(0, "c" + n[0]++));
+        way.run(2 * SECOND);
+        int from = way.all.size();
+        way.run(10 * SECOND);
+        List<Asked> later = way.all.subList(from, way.all.size());
+        long refused = later.stream().filter(a -> a.refused).count();
+        long atOnce = later.stream().filter(a -> a.refused && a.endedUs == a.askedUs).count();
+        long late = later.stream().filter(a -> a.served() && a.endedUs - a.askedUs > AIM).count();
+        assertTrue(refused > 3_000, "more is asked than can be done: " + refused);
+        assertTrue(atOnce >= 0.88 * refused, atOnce + " of " + refused + " at once");
+        assertEquals(0, late, "and what is let in is in time");
+    }
+
+    @Test
+    void aFleetThatHalvesHasNothingLateAndTellsLaterTimes() {
+        Settings platform = Doorway.settings(1, AIM);
+        AdmissionSettings d = AdmissionProver.defaults(platform);
+        Doorway way = new Doorway(4, platform, new AdmissionSettings(d.waiting(), d.lines(), d.unsent(),
+                30 * SECOND, d.longestUs(), d.bookings(), d.weights()));
+        long until = way.now + 6 * SECOND;
+        int[] n = new int[1];
+        way.every(1_000, until, () -> comeBack(way, "c" + n[0]++, 0, new int[2]));
+        way.run(3 * SECOND);
+        assertTrue(way.door.waiting() > 10);
+        long told = way.all.get(way.all.size() - 1).adviceUs;
+        int from = way.all.size();
+        way.servers = 2;
+        way.run(30 * SECOND);
+        List<Asked> later = way.all.subList(from, way.all.size());
+        long late = later.stream().filter(a -> a.served() && a.endedUs - a.askedUs > AIM).count();
+        long served = later.stream().filter(Asked::served).count();
+        assertTrue(served > 1_500, "it goes on: " + served);
+        assertTrue(late <= 0.01 * served, late + " late of " + served);
+        assertTrue(way.door.counts().missed() > 0, "some promises can't be kept");
+        long longest = later.stream().mapToLong(a -> a.adviceUs).max().orElse(0);
+        assertTrue(longest > told, "and are made anew, for later: " + told + " before, " + longest);
+    }
+
+    /** Asks, and comes back when told. */
+    private static void comeBack(Doorway way, String key, int tries, int[] counts) {
+        Asked asked = way.ask(0, key);
+        asked.whenRefused = () -> {
+            if (asked.adviceUs > 0 && tries < 5) {
+                way.at(way.now + asked.adviceUs, () -> {
+                    counts[0]++;
+                    comeBack(way, key, tries + 1, counts);
+                });
+            }
+        };
+        if (asked.refused) {
+            asked.whenRefused.run();
+        }
+    }
+
+    @Test
+    void allThatComeBackInOneMillisecondAreInTimeOrToldAnotherTime() {
+        Settings platform = Doorway.settings(1, AIM);
+        AdmissionSettings d = AdmissionProver.defaults(platform);
+        Doorway way = new Doorway(4, platform, new AdmissionSettings(d.waiting(), d.lines(), d.unsent(),
+                60 * SECOND, d.longestUs(), d.bookings(), d.weights()));
+        int[] n = new int[1];
+        List<Asked> told = new ArrayList<>();
+        way.every(1_000, way.now + 2 * SECOND, () -> {
+            Asked asked = way.ask(0, "c" + n[0]++);
+            told.add(asked);
+        });
+        way.run(2 * SECOND);
+        List<String> keys = told.stream().filter(a -> a.refused && a.adviceUs > 0).map(a -> a.key).toList();
+        assertTrue(keys.size() > 500, "many were told: " + keys.size());
+        way.run(SECOND);
+        List<Asked> back = new ArrayList<>();
+        keys.forEach(k -> back.add(way.ask(0, k)));
+        way.run(5 * SECOND);
+        assertTrue(back.stream().allMatch(a -> a.endedUs >= 0), "each has its answer");
+        assertTrue(back.stream().noneMatch(a -> a.served() && a.endedUs - a.askedUs > AIM), "none is late");
+        long served = back.stream().filter(Asked::served).count();
+        assertTrue(served >= 50, "as many as fit are served: " + served);
+        List<Long> again = back.stream().filter(a -> a.refused && a.adviceUs > 0).map(a -> a.adviceUs)
+                .sorted().toList();
+        assertTrue(again.size() > 100, again.size() + " are told another time");
+        long span = again.get(again.size() - 1) - again.get(0);
+        assertTrue(span > again.size() * Doorway.WORK_US / 4 / 2, "spread over " + span);
+    }
+
+    @Test
+    void whoComesWhenToldGoesAheadOfNewOnesAndWhoComesEarlyDoesNot() {
+        Settings platform = Doorway.settings(1, AIM);
+        Doorway way = new Doorway(4, platform);
+        int[] n = new int[1];
+        way.every(1_000, way.now + 4 * SECOND, () -> way.ask(0, "c" + n[0]++));
+        way.run(SECOND);
+        List<Asked> told = way.all.stream().filter(a -> a.refused && a.adviceUs > 100_000
+                && a.endedUs + a.adviceUs > way.now + 100_000).toList();
+        Asked one = told.get(0);
+        Asked other = told.get(told.size() - 1);
+        way.run(one.endedUs + one.adviceUs - way.now);
+        Asked early = way.ask(0, other.key);
+        Asked back = way.ask(0, one.key);
+        way.run(AIM);
+        assertTrue(back.served(), "it was told, and came");
+        assertTrue(back.endedUs - back.askedUs < 40_000, "ahead of what waits: "
+                + (back.endedUs - back.askedUs));
+        assertTrue(early.refused || early.endedUs > back.endedUs, "early gains nothing");
+        assertEquals(1, way.door.counts().returned());
+        assertEquals(1, way.door.counts().kept());
+        assertEquals(1, way.door.counts().early());
+    }
+
+    @Test
+    void whoLeavesFromTheHeadOrTheMiddleHoldsNobodyUp() {
+        Doorway way = new Doorway(1, Doorway.settings(1, 10 * SECOND));
+        List<Asked> asked = new ArrayList<>();
+        // Fewer than make a client heavy, which would have a line of its own from then on.
+        for (int i = 0; i < 7; i++) {
+            asked.add(way.ask(0, "same"));
+        }
+        assertEquals(4, way.door.waiting());
+        asked.get(3).leave();
+        asked.get(5).leave();
+        asked.get(6).leave();
+        assertEquals(1, way.door.waiting());
+        way.run(SECOND);
+        assertEquals(4, way.servedOf(0));
+        List<Long> ends = asked.stream().filter(a -> !a.left).map(a -> a.endedUs).toList();
+        assertEquals(ends.stream().sorted().toList(), ends, "in the order in which they came");
+        assertEquals(3, way.door.counts().left());
+        assertEquals(0, way.door.waiting());
+    }
+
+    @Test
+    void aFullDoorMakesRoomWhereTheMostWaits() {
+        Settings platform = Doorway.settings(2, 10 * SECOND);
+        Doorway way = new Doorway(1, platform, with(platform, 50, 4, List.of(1.0, 1.0, 1.0)));
+        for (int i = 0; i < 200; i++) {
+            way.ask(0, "loud" + i);
+        }
+        assertEquals(50, way.door.waiting());
+        List<Asked> quiet = new ArrayList<>();
+        for (int i = 0; i < 10; i++) {
+            quiet.add(way.ask(1, "quiet" + i));
+        }
+        assertEquals(50, way.door.waiting());
+        assertTrue(quiet.stream().noneMatch(a -> a.refused), "the quiet school finds room");
+        assertTrue(way.door.counts().refused(Why.FULL) >= 147);
+        way.run(SECOND);
+        assertEquals(10, way.servedOf(1));
+    }
+
+    @Test
+    void noAdviceIsGivenWhereTheSettingsAllowNoneAndNoneBeyondTheLongest() {
+        for (long longest : new long[] {0, 300_000}) {
+            Settings platform = Doorway.settings(1, AIM);
+            platform.maxRetryAfterUs = longest;
+            Doorway way = new Doorway(4, platform);
+            int[] n = new int[1];
+            way.every(1_000, way.now + 3 * SECOND, () -> way.ask(0, "c" + n[0]++));
+            way.run(4 * SECOND);
+            assertTrue(way.all.stream().filter(a -> a.refused).count() > 500);
+            assertTrue(way.all.stream().allMatch(a -> a.adviceUs <= longest));
+            assertEquals(longest > 0, way.all.stream().anyMatch(a -> a.adviceUs > 0));
+        }
+    }
+
+    @Test
+    void noTimeIsToldAtWhichTheClientHasGivenUp() {
+        Settings platform = Doorway.settings(1, AIM);
+        Doorway way = new Doorway(4, platform);
+        int[] n = new int[1];
+        way.every(1_000, way.now + 5 * SECOND, () -> way.ask(0, "c" + n[0]++));
+        way.run(6 * SECOND);
+        assertTrue(way.all.stream().allMatch(a -> a.adviceUs < 10 * AIM), "ten aims are all that it waits");
+        assertTrue(way.door.counts().unpromised() > 0);
+    }
+
+    @Test
+    void aClassThatCantGoDoesNotHoldUpTheOthers() {
+        Settings platform = Doorway.settings(1, 10 * SECOND);
+        platform.classes.add(new RequestClass("place-order", 10 * SECOND, 0, 100 * SECOND, 1, 0,
+                Repeat.UNSAFE, Group.ALL, 0, false));
+        FairAdmission door = new FairAdmission(AdmissionProver.defaults(platform), platform, 1);
+        // A module that sends class 1 only.
+        StuckModule module = new StuckModule(door);
+        for (int i = 0; i < 10; i++) {
+            module.ask(0, i);
+        }
+        for (int i = 0; i < 30; i++) {
+            module.ask(1, i);
+        }
+        module.run(400_000);
+        assertEquals(30, module.sent, "those of the other class have gone");
+        assertTrue(module.unsent() <= 4, "and few of the stuck one are inside: " + module.unsent());
+    }
+
+    @Test
+    void whatIsBeyondAShareWeighsWhatTheSettingsSay() {
+        Settings platform = Doorway.settings(0, AIM);
+        platform.tenants.add(new Tenant("within", 170));
+        platform.tenants.add(new Tenant("beyond", 170));
+        platform.overShareWorth = 0.1;
+        Doorway way = new Doorway(4, platform);
+        long until = way.now + 10 * SECOND;
+        int[] n = new int[1];
+        way.every(6_500, until, () -> way.ask(0, "a" + n[0]++ % 300));
+        way.every(1_000, until, () -> way.ask(1, "b" + n[0]++ % 300));
+        way.run(12 * SECOND);
+        assertTrue(way.servedOf(0) >= 0.97 * way.askedOf(0), way.servedOf(0) + " of " + way.askedOf(0));
+        assertTrue(way.servedOf(0) + way.servedOf(1) > 3_700, "what is left is used");
+    }
+
+    @Test
+    void whoIsTakenOutOfServiceLetsAllIn() {
+        Doorway way = new Doorway(1, Doorway.settings(1, 10 * SECOND));
+        for (int i = 0; i < 20; i++) {
+            way.ask(0, "k" + i);
+        }
+        assertEquals(17, way.door.waiting());
+        way.door.open();
+        assertEquals(0, way.door.waiting());
+        assertTrue(way.all.stream().allMatch(a -> a.admitted));
+    }
+}
