Play crowds of six schools before the door, and seeds of faults behind it

Need: whether a quiet school keeps its service, and whether those told to come back are served then, shows only with the core and the module at work behind the door.

--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -1,6 +1,7 @@
 package vetchpost.daemon;
 
 import vetchpost.simulation.SimulateCommand;
+import vetchpost.simulation.crowd.CrowdCommand;
 import vetchpost.trial.TryCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -14,7 +15,8 @@
 final class Commands implements Runnable {
     private final CommandLine line = new CommandLine(this).addSubcommand(new ServeCommand())
             .addSubcommand(new CheckCommand()).addSubcommand(new StateCommand())
-            .addSubcommand(new SimulateCommand()).addSubcommand(new TryCommand());
+            .addSubcommand(new SimulateCommand()).addSubcommand(new CrowdCommand())
+            .addSubcommand(new TryCommand());
 
     private Commands() { }
 
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/Guarded.java
@@ -0,0 +1,50 @@
+package vetchpost.simulation;
+
+import vetchpost.admission.AdmissionProver;
+import vetchpost.admission.FairAdmission;
+import vetchpost.core.Admission;
+import vetchpost.core.Companion;
+import vetchpost.core.RoutePolicy;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.node.Seams;
+import vetchpost.simulation.net.SimLoop;
+import vetchpost.simulation.world.NodeProcess;
+import io.netty.channel.Channel;
+
+/** The same nodes, with the door in service before each. */
+record Guarded(NodeProcess.Planting inner) implements NodeProcess.Planting {
+    @Override
+    public Admission admission(Settings settings, long seed) {
+        return new FairAdmission(AdmissionProver.defaults(settings), settings, seed);
+    }
+
+    @Override
+    public Seams seams(SimLoop loop) {
+        return inner.seams(loop);
+    }
+
+    @Override
+    public RoutePolicy routes(Settings settings, long seed) {
+        return inner.routes(settings, seed);
+    }
+
+    @Override
+    public int subset() {
+        return inner.subset();
+    }
+
+    @Override
+    public Companion companion(NodeProcess.Start start) {
+        return inner.companion(start);
+    }
+
+    @Override
+    public boolean isUnlisted(int number, int start) {
+        return inner.isUnlisted(number, start);
+    }
+
+    @Override
+    public void opened(Channel channel) {
+        inner.opened(channel);
+    }
+}
--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -56,6 +56,9 @@
         "half of later starts have no list."})
     private boolean recovery;
 
+    @Option(names = "--admission", description = "Requests stand before the door (docs/admission.md).")
+    private boolean admission;
+
     @Option(names = "--shrink", description = "Prints the smallest script found that breaks the same rule.")
     private boolean shrink;
 
@@ -94,7 +97,8 @@
     }
 
     private NodeProcess.Planting planting(Plan plan) {
-        return recovery ? Remembering.of(plan) : NONE;
+        NodeProcess.Planting nodes = recovery ? Remembering.of(plan) : NONE;
+        return admission ? new Guarded(nodes) : nodes;
     }
 
     private Result run(Plan plan) {
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/crowd/CrowdCommand.java
@@ -0,0 +1,214 @@
+package vetchpost.simulation.crowd;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+
+import vetchpost.simulation.crowd.Crowd.Plan;
+import vetchpost.simulation.crowd.Crowd.Policy;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command {@code crowd}. */
+@Command(name = "crowd", mixinStandardHelpOptions = true, sortOptions = false,
+        description = {"Has six schools ask a modelled fleet for more than it can do, on virtual time, and "
+            + "tells what each gets:", "first come first served, by the module's rule on shares, and behind "
+            + "the door (docs/admission.md).", "The same seeds give the same figures every time."},
+        footer = {"", "Examples:", "  crowd --load 1.3", "  crowd --load 0.8 --pairs --seeds 50",
+            "  crowd --honesty --seeds 20 --svg honesty.svg"},
+        exitCodeListHeading = "Exit codes:%n",
+        exitCodeList = {"0:done, and what was to be shown holds", "1:it does not hold", "2:bad arguments"})
+public final class CrowdCommand implements Callable<Integer> {
+    private static final double KEPT = 0.95;
+    private static final double TRUE = 0.90;
+    private static final double[] LOADS = {1.3, 2, 3};
+    private static final long LONGEST_US = 20_000_000;
+
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--load", paramLabel = "X", defaultValue = "1.3",
+            description = "What is asked over what the boxes can do (${DEFAULT-VALUE}).")
+    private double load;
+
+    @Option(names = "--loud", paramLabel = "SCHOOL=TIMES",
+            description = "A school, a to f, that asks so many times its usual.")
+    private Map<String, Double> loud = new TreeMap<>();
+
+    @Option(names = "--seeds", paramLabel = "N", defaultValue = "10",
+            description = "Plays seeds 1 to N (${DEFAULT-VALUE}).")
+    private int seeds;
+
+    @Option(names = "--pairs", description = "Triples each school in turn and shows what each of the others "
+        + "keeps of its service; fails if one keeps under 95%% behind the door.")
+    private boolean pairs;
+
+    @Option(names = "--honesty", description = "Clients that come back when told, at 1.3, 2 and 3 times what "
+        + "the boxes can do; fails if under 90%% of them are served then.")
+    private boolean honesty;
+
+    @Option(names = "--svg", paramLabel = "FILE", description = "With --honesty: a plot of what was told "
+        + "against what it took.")
+    private Path svg;
+
+    @Override
+    public Integer call() throws IOException {
+        if (pairs && honesty || svg != null && !honesty) {
+            throw bad(svg != null ? "--svg goes with --honesty" : "give one of --pairs and --honesty");
+        }
+        if (seeds < 1 || seeds > 10_000 || !(load > 0 && load <= 10)) {
+            throw bad("--seeds is from 1 to 10000, --load from 0 to 10");
+        }
+        PrintWriter out = spec.commandLine().getOut();
+        int code = pairs ? pairs(out) : honesty ? honesty(out) : compare(out);
+        out.flush();
+        return code;
+    }
+
+    private ParameterException bad(String why) {
+        return new ParameterException(spec.commandLine(), why);
+    }
+
+    private Plan plan(long seed, Policy policy) {
+        Plan plan = Plan.of(seed, policy, load);
+        for (Map.Entry<String, Double> entry : loud.entrySet()) {
+            int school = entry.getKey().length() == 1 ? entry.getKey().charAt(0) - 'a' : -1;
+            if (school < 0 || school >= Crowd.SHARES.length || !(entry.getValue() >= 0)
+                    || entry.getValue() > 100) {
+                throw bad("--loud takes a school, a to f, and how many times, from 0 to 100");
+            }
+            plan = plan.loud(school, entry.getValue());
+        }
+        return plan;
+    }
+
+    static List<Double> weights() {
+        return Arrays.stream(Crowd.SHARES).boxed().toList();
+    }
+
+    private List<CrowdResult> play(List<Plan> plans) {
+        return plans.parallelStream().map(Crowd::run).toList();
+    }
+
+    private List<Plan> plans(Policy policy) {
+        List<Plan> plans = new ArrayList<>();
+        for (int seed = 1; seed <= seeds; seed++) {
+            plans.add(plan(seed, policy));
+        }
+        return plans;
+    }
+
+    private int compare(PrintWriter out) {
+        out.printf(Locale.ROOT, "load %.2f, %d seeds; worth answered in time over worth asked for%n", load,
+                seeds);
+        out.println("policy       all   view-page add-photo place-order   a     b     c     d     e     f   "
+                + "  Jain   told at once");
+        for (Policy policy : Policy.values()) {
+            List<CrowdResult> results = play(plans(policy));
+            StringBuilder line = new StringBuilder(String.format(Locale.ROOT, "%-11s %.3f   %.3f     %.3f   "
+                    + "  %.3f     ", policy.name().toLowerCase(Locale.ROOT).replace('_', '-'),
+                    mean(results, CrowdResult::service), mean(results, r -> r.serviceOfClass(0)),
+                    mean(results, r -> r.serviceOfClass(1)), mean(results, r -> r.serviceOfClass(2))));
+            for (int school = 0; school < Crowd.SHARES.length; school++) {
+                int s = school;
+                line.append(String.format(Locale.ROOT, " %.3f", mean(results, r -> r.service(s))));
+            }
+            out.println(line + String.format(Locale.ROOT, "  %.4f  %.2f",
+                    mean(results, r -> r.jain(weights())), mean(results, CrowdResult::prompt)));
+        }
+        return 0;
+    }
+
+    private interface Figure {
+        double of(CrowdResult result);
+    }
+
+    private static double mean(List<CrowdResult> results, Figure figure) {
+        return results.stream().mapToDouble(figure::of).average().orElse(0);
+    }
+
+    private int pairs(PrintWriter out) {
+        int schools = Crowd.SHARES.length;
+        boolean holds = true;
+        for (Policy policy : Policy.values()) {
+            List<CrowdResult> calm = play(plans(policy));
+            out.println(policy.name().toLowerCase(Locale.ROOT).replace('_', '-')
+                    + ": what each keeps while one asks three times its usual, mean and worst seed");
+            for (int one = 0; one < schools; one++) {
+                int asks = one;
+                List<CrowdResult> loudly = play(plans(policy).stream().map(p -> p.loud(asks, 3)).toList());
+                StringBuilder line = new StringBuilder("  loud " + (char) ('a' + one) + " ");
+                for (int school = 0; school < schools; school++) {
+                    int s = school;
+                    if (s == one) {
+                        line.append("      -      ");
+                        continue;
+                    }
+                    double[] kept = IntStream.range(0, seeds).mapToDouble(i ->
+                            loudly.get(i).service(s) / calm.get(i).service(s)).toArray();
+                    double mean = Arrays.stream(kept).average().orElse(0);
+                    holds &= policy != Policy.DOOR || mean >= KEPT;
+                    line.append(String.format(Locale.ROOT, " %.3f (%.3f)", mean,
+                            Arrays.stream(kept).min().orElse(0)));
+                }
+                out.println(line);
+                out.flush();
+            }
+        }
+        out.println(holds ? "each keeps 95% behind the door" : "NOT each keeps 95% behind the door");
+        return holds ? 0 : 1;
+    }
+
+    private int honesty(PrintWriter out) throws IOException {
+        boolean holds = true;
+        Map<Double, List<CrowdResult.Told>> told = new TreeMap<>();
+        out.println("load   came back  served then  view-page add-photo place-order  promised  not promised");
+        for (double times : LOADS) {
+            List<Plan> plans = new ArrayList<>();
+            for (int seed = 1; seed <= seeds; seed++) {
+                plans.add(Plan.of(seed, Policy.DOOR, times).patient(LONGEST_US));
+            }
+            List<CrowdResult> results = play(plans);
+            double truth = mean(results, CrowdResult::truth);
+            holds &= truth >= TRUE;
+            double[] byClass = new double[Crowd.KINDS.size()];
+            for (int kind = 0; kind < byClass.length; kind++) {
+                int k = kind;
+                byClass[kind] = results.stream().mapToLong(r -> r.returnedServed(k)).sum()
+                        / Math.max(1.0, results.stream().mapToLong(r -> r.returned(k)).sum());
+            }
+            long back = 0;
+            for (CrowdResult result : results) {
+                for (int kind = 0; kind < byClass.length; kind++) {
+                    back += result.returned(kind);
+                }
+            }
+            out.printf(Locale.ROOT, "%.1f   %9d  %11.3f  %9.3f %9.3f %11.3f  %8d  %12d%n", times,
+                    back / seeds, truth, byClass[0], byClass[1], byClass[2],
+                    results.stream().mapToLong(r -> r.counts().booked()).sum() / seeds,
+                    results.stream().mapToLong(r -> r.counts().unpromised()).sum() / seeds);
+            out.flush();
+            told.put(times, results.get(0).told());
+        }
+        if (svg != null) {
+            Files.writeString(svg, HonestyPlot.svg(told), StandardCharsets.UTF_8);
+            out.println("plot in " + svg);
+        }
+        out.println(holds ? "90% of those that come back when told are served then"
+                : "NOT 90% of those that come back when told are served then");
+        return holds ? 0 : 1;
+    }
+}
--- a/src/main/java/vetchpost/simulation/world/NodeProcess.java
+++ b/src/main/java/vetchpost/simulation/world/NodeProcess.java
@@ -8,6 +8,7 @@
 import java.util.function.Consumer;
 
 import vetchpost.config.Config;
+import vetchpost.core.Admission;
 import vetchpost.core.Companion;
 import vetchpost.core.RoutePolicy;
 import vetchpost.core.Subset;
@@ -49,6 +50,11 @@
             return RoutePolicy.NONE;
         }
 
+        /** The door that requests stand before; null for none. */
+        default Admission admission(Settings settings, long seed) {
+            return null;
+        }
+
         /** Of how many boxes each node has a part; 0 for all. */
         default int subset() {
             return 0;
@@ -114,6 +120,7 @@
             toldReady.forEach((id, ready) -> tap.told(id, ready, toldStarts.get(id)));
             node = new Node(config, loop, network, World.EPOCH_MS + world.nowMs(), planting.seams(loop));
             node.routes(planting.routes(config.settings(), config.seed()));
+            node.admission(planting.admission(config.settings(), config.seed()));
             if (planting.subset() > 0) {
                 node.subset(new Subset(number, nodes, planting.subset(), true));
             }
--- a/src/test/java/vetchpost/simulation/SeedsTest.java
+++ b/src/test/java/vetchpost/simulation/SeedsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import vetchpost.node.Seams;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -33,6 +34,18 @@
                 .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
     }
 
+    /** Requests stand before the door of each node. */
+    @Test
+    void noSeedBreaksARuleBehindTheDoor() throws Exception {
+        SeedRuns runs = new SeedRuns(1, SEEDS / 4, Runtime.getRuntime().availableProcessors(), seed -> {
+            Plan plan = Plan.of(seed);
+            return Simulation.run(plan, new Guarded(Remembering.of(plan)), null);
+        });
+        runs.run((done, of, failed) -> { });
+        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
+                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
+    }
+
     @Test
     void theSameSeedGivesTheSameRun() {
         for (long seed = 1; seed <= 20; seed++) {
@@ -40,6 +53,9 @@
             Result again = Simulation.run(Plan.of(seed));
             assertEquals(once.digest(), again.digest());
             assertEquals(once.events(), again.events());
+            Plan plan = Plan.of(seed);
+            Guarded door = new Guarded(loop -> Seams.NONE);
+            assertEquals(Simulation.run(plan, door, null).digest(), Simulation.run(plan, door, null).digest());
         }
     }
 }
