--- a/src/main/java/vetchpost/admission/AdmissionProver.java
+++ b/src/main/java/vetchpost/admission/AdmissionProver.java
@@ -160,8 +160,8 @@
     }
 
     /**
-     * A tenant's share where the settings say one, in proportion to their mean so that 1 is usual; else 1. What
-     * the file says comes first. Requests of no tenant weigh as the usual one.
+     * A tenant's share where the settings say one, in proportion to their mean so that 1 is usual; else 1.
+     * What the file says comes first. Requests of no tenant weigh as the usual one.
      */
     private static List<Double> weights(Settings settings, Map<?, ?> said) {
         double mean = settings.tenants.stream().mapToDouble(Tenant::quotaPerS).filter(q -> q > 0).average()
--- a/src/main/java/vetchpost/admission/AdmissionSettings.java
+++ b/src/main/java/vetchpost/admission/AdmissionSettings.java
@@ -7,7 +7,8 @@
  *
  * @param waiting most requests that wait at once
  * @param lines how many lines the clients of one class of a tenant are spread over
- * @param unsent how many of those let in the module may hold unsent, so that its limits are what holds the rest
+ * @param unsent how many of those let in the module may hold unsent, so that its limits are what holds the
+ *     rest
  * @param patienceUs so long after its first try a client still comes back; 0 for its class's deadline
  * @param longestUs the longest advice on when to come back; 0 for none
  * @param bookings places in the table of bookings, a power of two
--- a/src/main/java/vetchpost/admission/Bookings.java
+++ b/src/main/java/vetchpost/admission/Bookings.java
@@ -1,8 +1,8 @@
 package vetchpost.admission;
 
 /**
- * When clients were told to come back: a table of fixed size, four places to a row, in which what is past makes
- * room. A client whose row is full gets no booking.
+ * When clients were told to come back: a table of fixed size, four places to a row, in which what is past
+ * makes room. A client whose row is full gets no booking.
  */
 final class Bookings {
     private static final int WAYS = 4;
--- a/src/main/java/vetchpost/admission/Branch.java
+++ b/src/main/java/vetchpost/admission/Branch.java
@@ -11,7 +11,10 @@
 final class Branch extends Flow {
     final Map<Integer, Flow> children = new HashMap<>();
     double readyWeight;
-    /** A child that has had nothing waiting may start so much before now, in virtual time: bursts are no crowd. */
+    /**
+     * A child that has had nothing waiting may start so much before now, in virtual time: bursts are no
+     * crowd.
+     */
     double credit;
     private final PriorityQueue<Flow> queue = new PriorityQueue<>(BY_START);
     /** What has nothing waiting but a finish that lies ahead: to forget that would be to let it go first. */
@@ -101,7 +104,10 @@
         return child.start < virtual - credit / 2;
     }
 
-    /** How much a child's next turn lies behind what is served now, in cost of its own; less than 0 for credit. */
+    /**
+     * How much a child's next turn lies behind what is served now, in cost of its own; less than 0 for
+     * credit.
+     */
     double lag(Flow child) {
         return ((child.ready ? child.start : Math.max(virtual - credit, child.finish)) - virtual)
                 * child.weight;
@@ -129,7 +135,8 @@
             readyWeight = 0; // What rounding has left would else stay for good.
         }
         while (!idle.isEmpty() && idle.peek().finish <= virtual - credit) {
-            children.remove(idle.poll().key);
+            Flow past = idle.poll();
+            children.remove(past.key, past);
         }
     }
 
--- a/src/main/java/vetchpost/admission/ClientIdentity.java
+++ b/src/main/java/vetchpost/admission/ClientIdentity.java
@@ -6,8 +6,8 @@
 import org.apache.commons.codec.digest.MurmurHash3;
 
 /**
- * Whose a request is, as a number: its cookie {@code key}'s, else its connection's. A client can give itself as
- * many names as it likes; it stays within its tenant's share with all of them (docs/admission.md).
+ * Whose a request is, as a number: its cookie {@code key}'s, else its connection's. A client can give
+ * itself as many names as it likes; it stays within its tenant's share with all of them (docs/admission.md).
  */
 final class ClientIdentity {
     private static final String KEY = "key=";
--- a/src/main/java/vetchpost/admission/DrainRate.java
+++ b/src/main/java/vetchpost/admission/DrainRate.java
@@ -2,9 +2,9 @@
 
 /**
  * How much goes out of a queue, measured only while something waits: what a quiet door lets through tells
- * nothing of how much could go. What it is measured against is the caller's: microseconds for the whole door, so
- * that the rate is the work of so many servers, or what goes out of the door for a part of it, so that it is that
- * part's share.
+ * nothing of how much could go. What it is measured against is the caller's: microseconds for the whole
+ * door, so that the rate is the work of so many servers, or what goes out of the door for a part of it, so
+ * that it is that part's share.
  */
 final class DrainRate {
     private double drained;
--- a/src/main/java/vetchpost/admission/ExpectedWork.java
+++ b/src/main/java/vetchpost/admission/ExpectedWork.java
@@ -1,8 +1,8 @@
 package vetchpost.admission;
 
 /**
- * What a request of a class takes. What clients say of it ({@code X-Estimate}) is not used: one that said less
- * would get more than its share.
+ * What a request of a class takes. What clients say of it ({@code X-Estimate}) is not used: one that said
+ * less would get more than its share.
  */
 final class ExpectedWork {
     /** Share of a new latency in the usual one. */
--- a/src/main/java/vetchpost/admission/FairAdmission.java
+++ b/src/main/java/vetchpost/admission/FairAdmission.java
@@ -17,11 +17,11 @@
 import vetchpost.decision.Balancer.Settings;
 
 /**
- * Fair queues before the decision module: tenants share what the fleet can do by their weights, within a tenant
- * its classes by their worth, within a class its clients evenly. Nothing here measures the fleet's capacity:
- * the door lets in as long as the module has next to nothing unsent, so that the module's own limits are the
- * only ones, and what goes out of the queues is how fast the fleet drains them. What can't be in time by that
- * is turned away when it comes, with a time to come back at which there is a place for it.
+ * Fair queues before the decision module: tenants share what the fleet can do by their weights, within a
+ * tenant its classes by their worth, within a class its clients evenly. Nothing here measures the fleet's
+ * capacity: the door lets in as long as the module has next to nothing unsent, so that the module's own
+ * limits are the only ones, and what goes out of the queues is how fast the fleet drains them. What can't
+ * be in time by that is turned away when it comes, with a time to come back at which there is a place for it.
  *
  * <p>It does no I/O and has no clock of its own. docs/admission.md has the options weighed and the bounds.
  */
@@ -47,6 +47,8 @@
     private static final double CREDIT_US = 200_000;
     /** A tenant that takes less than this of its part goes before others' that have come back when told. */
     private static final double QUIET = 0.75;
+    /** So much of what waits may go before one while more keeps coming. */
+    private static final double OVERTAKEN = 1.5;
     /** Of a shorter time nothing can be said. */
     private static final double LEAST_MEASURED_US = 50_000;
     /** Parts of what goes out are of about the last 400 requests, or more where many go. */
@@ -59,7 +61,9 @@
     private static final double JITTER = 0.1;
     /** What lies beyond a tenant's share weighs this part at least, so that it is not stopped for good. */
     private static final double LEAST_WEIGHT = 0.001;
-    /** Power of a class's value in its weight: at 1 the most valuable leave too much, without end all starve. */
+    /**
+     * Power of a class's value in its weight: at 1 the most valuable leave too much, without end all starve.
+     */
     private static final double VALUE_POWER = 2;
     /** A tenant that has been quiet for so long is forgotten. */
     private static final long FORGET_US = 10_000_000;
@@ -71,8 +75,8 @@
     private final Bookings bookings;
     private final Branch root = new Branch(null, 0, 1);
     /**
-     * Those that came back when they were told, by when they must go: they go before all others, and what they
-     * take counts as their flows'.
+     * Those that came back when they were told, by when they must go: they go before all others, and what
+     * they take counts as their flows'.
      */
     private final NavigableSet<Waiter> returned = new TreeSet<>(
             Comparator.<Waiter>comparingLong(w -> w.latestUs).thenComparingLong(w -> w.number));
@@ -144,9 +148,11 @@
         if (isBack) {
             counts.returned++;
             waiter.inShare = bookings.isInShare(booking);
+            waiter.tookShare = waiter.inShare && book.takeShare(now);
             bookings.drop(booking);
         } else {
-            waiter.inShare = platform.overShareWorth >= 1 || book.takeShare(now);
+            waiter.tookShare = platform.overShareWorth < 1 && book.takeShare(now);
+            waiter.inShare = platform.overShareWorth >= 1 || waiter.tookShare;
         }
         Branch cls = branch(branch(root, share(waiter)), c);
         contention.asks(book.shares[waiter.inShare ? 0 : 1], now);
@@ -165,7 +171,8 @@
             return turnAway(waiter, advice);
         }
         counts.kept += isBack ? 1 : 0;
-        append(waiter, line);
+        // Looked up again: making room may have ended the flows of its own that had nothing waiting.
+        append(waiter, isBack ? null : line(branch(branch(root, share(waiter)), c), client, place));
         return waiter;
     }
 
@@ -287,8 +294,8 @@
     }
 
     /**
-     * Whether something has waited for a while without a break. What waits for a moment only goes out as soon as
-     * one answer comes, which would look like any speed.
+     * Whether something has waited for a while without a break. What waits for a moment only goes out as
+     * soon as one answer comes, which would look like any speed.
      */
     private boolean isSettled() {
         return root.waiting > 0 && now > busyUs + SETTLED_US;
@@ -300,14 +307,20 @@
         return settled == 0 ? 0 : Math.max(settled, through.rate(THROUGH_US / 2));
     }
 
+    /** Weight of all that have asked lately; of this one alone where it has waited for longer than that. */
+    private double contending(Waiter one) {
+        return Math.max(contention.weight(), weight(share(one)));
+    }
+
     /** The part of all that a tenant surely gets. */
     private double partOfTenant(Waiter of) {
         return contention.share(tenants[of.tenant].shares[of.inShare ? 0 : 1], now);
     }
 
     /**
-     * The part of all that a class of a tenant gets: what is surely its, or if that is more, by its weight of what
-     * those get together of whom some was turned away lately (max-min fairness: the others have all they want).
+     * The part of all that a class of a tenant gets: what is surely its, or if that is more, by its weight
+     * of what those get together of whom some was turned away lately (max-min fairness: the others have all
+     * they want).
      */
     private double part(Waiter of) {
         TenantBook book = tenants[of.tenant];
@@ -315,14 +328,17 @@
                 ofShort.rate(LEAST_SHARE_MEMORY / 2) * shorts.share(book.leaf(of.cls, of.inShare), now));
     }
 
-    /** What clients may be told to come back with: the quicker mean has luck in it, and the slower one is late. */
+    /**
+     * What clients may be told to come back with: the quicker mean has luck in it, and the slower one is
+     * late.
+     */
     private double promisedPerUs() {
         return PROMISED * Math.min(rate.rate(LEAST_MEASURED_US), steadyRate.rate(LEAST_MEASURED_US));
     }
 
     /**
-     * How much of its class of its tenant goes out before a request at the end of this line: until its class's
-     * turn, and its line's. While queues come and go, no more than waits there.
+     * How much of its class of its tenant goes out before a request at the end of this line: until its
+     * class's turn, and its line's. While queues come and go, no more than waits there.
      */
     private double ahead(Branch cls, Line line) {
         double inLine = (cls.lag(line) + line.backlog) / line.share();
@@ -330,9 +346,10 @@
     }
 
     /**
-     * How long a request still waits, by what its class of its tenant has drained since it came and drains now,
-     * and by how far its tenant is before or behind its turn. What came after it counts only where it makes its
-     * part smaller. While queues come and go, all that waits has gone out by a time whatever the turns are.
+     * How long a request still waits, by what its class of its tenant has drained since it came and drains
+     * now, and by how far its tenant is before or behind its turn. What came after it counts only where it
+     * makes its part smaller. Whatever the turns are, all that waits has gone out by a time, if not much
+     * more comes.
      */
     private double waitUs(Waiter of, Branch cls) {
         double all = perUs();
@@ -340,8 +357,10 @@
             return 0; // Not known yet; the sweep has an eye on what waits.
         }
         double left = Math.max(0, of.dueAt - tenants[of.tenant].drained(of.cls, of.inShare));
-        double us = Math.max(0, left / (all * part(of)) + root.lag(cls.parent) / (all * partOfTenant(of)));
-        return isSettled() ? us : Math.min(us, root.backlog / all);
+        double part = part(of);
+        double us = Math.max(0, left / (all * part)
+                + root.lag(cls.parent) / (all * Math.max(part, partOfTenant(of))));
+        return Math.min(us, (isSettled() ? OVERTAKEN : 1) * root.backlog / all);
     }
 
     // ---------------------------------------------------------------- in and out of the lines
@@ -357,7 +376,7 @@
             line.append(waiter);
         }
         count(waiter, 1);
-        root.credit = CREDIT_US * perUs() / contention.weight();
+        root.credit = CREDIT_US * perUs() / contending(waiter);
         for (Flow flow = line; flow != null && flow.parent != null; flow = flow.parent) {
             flow.parent.wake(flow, ++turn);
         }
@@ -422,7 +441,10 @@
         return found;
     }
 
-    /** The first of those that have come back whose class can go, of this share or of any if it is -1; or null. */
+    /**
+     * The first of those that have come back whose class can go, of this share or of any if it is -1; or
+     * null.
+     */
     private Waiter nextBack(int share) {
         for (Waiter waiter : returned) {
             if (!closed[waiter.cls] && (share < 0 || share(waiter) == share)) {
@@ -444,7 +466,7 @@
                 flow.parent.serve(flow, waiter.cost, ++turn);
             }
         }
-        root.pass(QUIET * waiter.cost / contention.weight());
+        root.pass(QUIET * waiter.cost / contending(waiter));
         through.add(waiter.cost);
         if (settled) {
             rate.add(waiter.cost);
@@ -491,7 +513,8 @@
      */
     private long book(Waiter waiter) {
         shorts.asks(tenants[waiter.tenant].leaf(waiter.cls, waiter.inShare), now);
-        if (waiter.inShare && platform.overShareWorth < 1) {
+        if (waiter.tookShare) {
+            waiter.tookShare = false;
             tenants[waiter.tenant].giveShareBack();
         }
         double all = promisedPerUs();
@@ -559,8 +582,8 @@
     }
 
     /**
-     * Whether the module has so little unsent that it can do with more. What it has passed over keeps its class
-     * shut, and doesn't count: others may go where that can't.
+     * Whether the module has so little unsent that it can do with more. What it has passed over keeps its
+     * class shut, and doesn't count: others may go where that can't.
      */
     private boolean isOpen() {
         Arrays.fill(closed, false);
@@ -625,12 +648,13 @@
     @Override
     public void open() {
         opened = true;
+        Arrays.fill(closed, false);
         advance(now);
     }
 
     /**
-     * Takes up other figures; what waits stays where it is, and weights count from the next turn on. The table
-     * of bookings keeps its size.
+     * Takes up other figures; what waits stays where it is, and weights count from the next turn on. The
+     * table of bookings keeps its size.
      *
      * @throws IllegalArgumentException if they are of other tenants than those that this door began with
      */
--- a/src/main/java/vetchpost/admission/Flow.java
+++ b/src/main/java/vetchpost/admission/Flow.java
@@ -4,8 +4,8 @@
 
 /**
  * One of those that share what its parent gets, in proportion to their weights: a tenant, a class of it, or a
- * line of clients of that. Its tags are of start-time fair queueing: it starts at its parent's virtual time or
- * where its last request finished, whichever is later, and finishes by its cost over its weight later
+ * line of clients of that. Its tags are of start-time fair queueing: it starts at its parent's virtual time
+ * or where its last request finished, whichever is later, and finishes by its cost over its weight later
  * (P. Goyal, H. Vin, H. Cheng, "Start-Time Fair Queueing", IEEE/ACM Transactions on Networking 5(5), 1997).
  */
 abstract class Flow {
--- a/src/main/java/vetchpost/admission/HeavyHitters.java
+++ b/src/main/java/vetchpost/admission/HeavyHitters.java
@@ -3,8 +3,8 @@
 /**
  * The few clients of a tenant that ask for much, told from the crowd in fixed memory: the space-saving sketch
  * (A. Metwally, D. Agrawal, A. El Abbadi, "Efficient Computation of Frequent and Top-k Elements in Data
- * Streams", ICDT 2005), halved with time. What a client is known to have asked for is its counter less what it
- * took over from the one whose place it got.
+ * Streams", ICDT 2005), halved with time. What a client is known to have asked for is its counter less what
+ * it took over from the one whose place it got.
  */
 final class HeavyHitters {
     static final int PLACES = 16;
--- a/src/main/java/vetchpost/admission/Ledger.java
+++ b/src/main/java/vetchpost/admission/Ledger.java
@@ -1,8 +1,8 @@
 package vetchpost.admission;
 
 /**
- * Work that clients have been told to come back with: laid end to end, as in a leaky bucket, so that a change of
- * the rate moves the times that are still to be told.
+ * Work that clients have been told to come back with: laid end to end, as in a leaky bucket, so that a
+ * change of the rate moves the times that are still to be told.
  */
 final class Ledger {
     private double work;
--- a/src/main/java/vetchpost/admission/Waiter.java
+++ b/src/main/java/vetchpost/admission/Waiter.java
@@ -29,8 +29,10 @@
     /** The client comes back no later than this. */
     final long patienceUs;
     final double cost;
-    /** Whether it has used up a part of its tenant's share, which it gives back if it is turned away. */
+    /** Whether it counts as within its tenant's share. */
     boolean inShare;
+    /** Whether it has used up a part of that, which it gives back if it is turned away. */
+    boolean tookShare;
     Stage stage = Stage.TURNED_AWAY;
     long adviceUs;
     /** It goes when this much has gone out of its class of its tenant, as it looked when it came. */
--- a/src/main/java/vetchpost/daemon/DoorLoader.java
+++ b/src/main/java/vetchpost/daemon/DoorLoader.java
@@ -10,8 +10,8 @@
     private DoorLoader() { }
 
     /**
-     * Has the node have this door; what waits before the one it has goes on waiting, and goes in if there is to
-     * be none any more.
+     * Has the node have this door; what waits before the one it has goes on waiting, and goes in if there
+     * is to be none any more.
      *
      * @param settings null for none
      */
--- a/src/main/java/vetchpost/daemon/ServeCommand.java
+++ b/src/main/java/vetchpost/daemon/ServeCommand.java
@@ -18,8 +18,9 @@
     static final int SERVING = -1;
 
     @Option(names = "--routes", paramLabel = "FILE",
-            description = "Limits per route and class, a part of the fleet (docs/routes.md), and what is "
-                + "kept and handed over (docs/state.md). Proved before the first request.")
+            description = "Limits per route and class, a part of the fleet (docs/routes.md), fair queues "
+                + "(docs/admission.md), and what is kept and handed over (docs/state.md). Proved "
+                + "before the first request.")
     private Path routes;
 
     @Override
--- a/src/main/java/vetchpost/routes/Violation.java
+++ b/src/main/java/vetchpost/routes/Violation.java
@@ -12,7 +12,8 @@
     /** The rules that a file can break. */
     public enum Rule {
         SYNTAX("the file is TOML"),
-        UNKNOWN_TABLE("tables are [defaults], [class.NAME], [[route]], [fleet], [state], [handover] and [admission]"),
+        UNKNOWN_TABLE("tables are [defaults], [class.NAME], [[route]], [fleet], [state], [handover] and "
+                + "[admission]"),
         UNKNOWN_KEY("keys are known"),
         WRONG_UNIT("figures have their unit"),
         OUT_OF_RANGE("figures make sense"),
--- a/src/main/java/vetchpost/simulation/crowd/Crowd.java
+++ b/src/main/java/vetchpost/simulation/crowd/Crowd.java
@@ -64,8 +64,8 @@
      * @param load what is asked over what the boxes can do, before any school is louder than usual
      * @param louder by school, how many times its usual it asks
      * @param clients by school, how many there are; what they ask for is drawn evenly among them
-     * @param patient whether clients go on coming back for half a minute; else they give up with their class's
-     *     deadline, as the platform's do
+     * @param patient whether clients go on coming back for half a minute; else they give up with their
+     *     class's deadline, as the platform's do
      * @param longestUs the longest advice that the settings allow
      * @param lengthUs for how long is asked
      * @param halveAtUs when the boxes begin to take twice as long; 0 for never
--- a/src/main/java/vetchpost/simulation/crowd/HonestyPlot.java
+++ b/src/main/java/vetchpost/simulation/crowd/HonestyPlot.java
@@ -17,7 +17,8 @@
     static String svg(Map<Double, List<CrowdResult.Told>> byLoad) {
         StringBuilder svg = new StringBuilder();
         int width = GAP + byLoad.size() * (SIDE + GAP);
-        svg.append(String.format(Locale.ROOT, "<svg xmlns=\"http://www.w3.org/2000/svg\" viewBox=\"0 0 %d %d\" "
+        svg.append(String.format(Locale.ROOT, "<svg xmlns=\"http://www.w3.org/2000/svg\" "
+                + "viewBox=\"0 0 %d %d\" "
                 + "font-family=\"sans-serif\" font-size=\"12\">%n<title>Advised against needed wait</title>%n"
                 + "<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>%n", width, SIDE + 2 * GAP));
         int left = GAP;
@@ -34,19 +35,22 @@
             most = Math.max(most, Math.max(one.advisedUs(), one.neededUs()) / 1e6);
         }
         int bottom = GAP + SIDE;
-        svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%.1f times what the "
-                + "boxes can do</text>%n", left + SIDE / 2, GAP - 12, load));
-        svg.append(String.format(Locale.ROOT, "<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"%d\" fill=\"none\" "
-                + "stroke=\"#444\"/>%n", left, GAP, SIDE, SIDE));
+        svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%.1f times "
+                + "what the boxes can do</text>%n", left + SIDE / 2, GAP - 12, load));
+        svg.append(String.format(Locale.ROOT, "<rect x=\"%d\" y=\"%d\" width=\"%d\" height=\"%d\" "
+                + "fill=\"none\" stroke=\"#444\"/>%n", left, GAP, SIDE, SIDE));
         for (int i = 0; i <= TICKS; i++) {
             int at = SIDE * i / TICKS;
-            svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%.1f</text>%n",
+            svg.append(String.format(Locale.ROOT,
+                    "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%.1f</text>%n",
                     left + at, bottom + 16, most * i / TICKS));
             svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" text-anchor=\"end\">%.1f</text>%n",
                     left - 5, bottom - at + 4, most * i / TICKS));
         }
-        svg.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">advised, s</text>%n"
-                + "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\" transform=\"rotate(-90 %d %d)\">needed, s</text>%n",
+        svg.append(String.format(Locale.ROOT,
+                "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">advised, s</text>%n"
+                + "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\" transform=\"rotate(-90 %d %d)\">"
+                + "needed, s</text>%n",
                 left + SIDE / 2, bottom + 34, left - 34, GAP + SIDE / 2, left - 34, GAP + SIDE / 2));
         svg.append("<g fill=\"#1f6fb4\" fill-opacity=\"0.4\">\n");
         int step = Math.max(1, told.size() / MOST_DOTS);
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -88,7 +88,8 @@
     static final ArchRule THE_DOOR_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
             .that().resideInAPackage("vetchpost.admission").should().onlyDependOnClassesThat()
             .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.util.regex",
-                    "java.util.stream", "java.nio.charset", "vetchpost.admission", "vetchpost.core..", "vetchpost.decision..",
+                    "java.util.stream", "java.nio.charset", "vetchpost.admission", "vetchpost.core..",
+                    "vetchpost.decision..",
                     "vetchpost.routes", "org.apache.commons.codec.digest");
 
     @ArchTest
--- a/src/test/java/vetchpost/admission/AdmissionProverTest.java
+++ b/src/test/java/vetchpost/admission/AdmissionProverTest.java
@@ -65,7 +65,8 @@
                 [admission.weights]
                 school-b = 4
                 """).settings();
-        assertEquals(new AdmissionSettings(20, 8, 3, 30_000_000, 500_000, 1_024, List.of(1.0, 1.5, 4.0)), door);
+        assertEquals(new AdmissionSettings(20, 8, 3, 30_000_000, 500_000, 1_024, List.of(1.0, 1.5, 4.0)),
+                door);
     }
 
     @ParameterizedTest
--- a/src/test/java/vetchpost/admission/FairAdmissionTest.java
+++ b/src/test/java/vetchpost/admission/FairAdmissionTest.java
@@ -1,11 +1,12 @@
 package vetchpost.admission;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
 
 import vetchpost.admission.AdmissionCounts.Why;
 import vetchpost.admission.Doorway.Asked;
@@ -313,6 +314,38 @@
         assertEquals(0, way.door.waiting());
     }
 
+    @Test
+    void whatWaitsForLongAfterAllHaveGoneQuietStillTakesTurns() {
+        Doorway way = new Doorway(1, Doorway.settings(2, 100 * SECOND));
+        for (int i = 0; i < 150; i++) {
+            way.ask(0, "a" + i);
+        }
+        for (int i = 0; i < 150; i++) {
+            way.ask(1, "b" + i);
+        }
+        way.run(2 * SECOND);
+        assertTrue(Math.abs(way.servedOf(0) - way.servedOf(1)) <= 6, way.servedOf(0) + " and "
+                + way.servedOf(1));
+        way.run(2 * SECOND);
+        assertEquals(300, way.servedOf(0) + way.servedOf(1));
+    }
+
+    @Test
+    void roomIsMadeAgainAndAgainWithoutLosingAFlow() {
+        Settings platform = Doorway.settings(40, 300_000);
+        Doorway way = new Doorway(4, platform, with(platform, 12, 4, AdmissionProver.defaults(platform)
+                .weights()));
+        SplittableRandom random = new SplittableRandom(5);
+        way.every(700, way.now + 20 * SECOND, () -> way.ask(random.nextInt(40), "c" + random.nextInt(9)));
+        way.run(22 * SECOND);
+        assertTrue(way.all.stream().allMatch(a -> a.endedUs >= 0), "each has its answer");
+        assertTrue(way.door.counts().refused(Why.FULL) > 1_000);
+        assertEquals(0, way.door.waiting());
+        long least = LongStream.range(0, 40).map(t -> way.servedOf((int) t)).min().orElse(0);
+        long most = LongStream.range(0, 40).map(t -> way.servedOf((int) t)).max().orElse(0);
+        assertTrue(least > 0.7 * most, "evenly: " + least + " to " + most);
+    }
+
     @Test
     void aFullDoorMakesRoomWhereTheMostWaits() {
         Settings platform = Doorway.settings(2, 10 * SECOND);
--- a/src/test/java/vetchpost/admission/StuckModule.java
+++ b/src/test/java/vetchpost/admission/StuckModule.java
@@ -54,8 +54,8 @@
             @Override
             public void forEach(BiConsumer<String, String> action) { }
         };
-        entrant.entry = door.arrive(now, new ClientRequest(++numbers, cls, 0, 100_000_000, 0, false, "GET", "/",
-                none, new byte[0]), client, 0, now + 100_000_000, entrant);
+        entrant.entry = door.arrive(now, new ClientRequest(++numbers, cls, 0, 100_000_000, 0, false, "GET",
+                "/", none, new byte[0]), client, 0, now + 100_000_000, entrant);
         door.advance(now);
     }
 
--- a/src/test/java/vetchpost/core/DoorTest.java
+++ b/src/test/java/vetchpost/core/DoorTest.java
@@ -41,8 +41,8 @@
             return () -> queue.remove(due);
         }
     };
-    private final Dispatcher node = new Dispatcher(clock, new Stall(clock), new Servers(), List.of(), () -> { },
-            () -> { }, 1_000_000, actions -> new ServiceQBalancer(settings(), 1, actions));
+    private final Dispatcher node = new Dispatcher(clock, new Stall(clock), new Servers(), List.of(),
+            () -> { }, () -> { }, 1_000_000, actions -> new ServiceQBalancer(settings(), 1, actions));
 
     private record Due(long us, long number, Runnable task) implements Comparable<Due> {
         @Override
@@ -237,8 +237,8 @@
         }
 
         @Override
-        public Entry arrive(long nowUs, ClientRequest request, long connection, long waitedUs, long deadlineUs,
-                Entrant entrant) {
+        public Entry arrive(long nowUs, ClientRequest request, long connection, long waitedUs,
+                long deadlineUs, Entrant entrant) {
             if (inArrival && ++calls == 3) {
                 throw new IllegalStateException("planted");
             }
--- a/src/test/java/vetchpost/simulation/SeedsTest.java
+++ b/src/test/java/vetchpost/simulation/SeedsTest.java
@@ -55,7 +55,8 @@
             assertEquals(once.events(), again.events());
             Plan plan = Plan.of(seed);
             Guarded door = new Guarded(loop -> Seams.NONE);
-            assertEquals(Simulation.run(plan, door, null).digest(), Simulation.run(plan, door, null).digest());
+            assertEquals(Simulation.run(plan, door, null).digest(),
+                    Simulation.run(plan, door, null).digest());
         }
     }
 }
--- a/src/test/java/vetchpost/simulation/crowd/CrowdTest.java
+++ b/src/test/java/vetchpost/simulation/crowd/CrowdTest.java
@@ -64,7 +64,8 @@
     void theDoorIsFairerThanFirstComeFirstServed() {
         double[] jain = new double[2];
         for (int seed = 1; seed <= 10; seed++) {
-            jain[0] += Crowd.run(Plan.of(seed, Policy.FIRST_COME, 0.8).loud(0, 3)).jain(CrowdCommand.weights());
+            jain[0] += Crowd.run(Plan.of(seed, Policy.FIRST_COME, 0.8).loud(0, 3))
+                    .jain(CrowdCommand.weights());
             jain[1] += Crowd.run(Plan.of(seed, Policy.DOOR, 0.8).loud(0, 3)).jain(CrowdCommand.weights());
         }
         assertTrue(jain[1] > jain[0], jain[1] / 10 + " for " + jain[0] / 10);
@@ -77,8 +78,8 @@
             CrowdResult result = Crowd.run(Plan.of(seed, Policy.DOOR, 1.3).patient(20_000_000)
                     .halve(5_000_000));
             assertEquals(0, result.stillHeld());
-            assertTrue(result.late(1) + result.late(2) < 0.02 * result.served(), result.late(1) + " photos and "
-                    + result.late(2) + " orders late of " + result.served());
+            assertTrue(result.late(1) + result.late(2) < 0.02 * result.served(), result.late(1)
+                    + " photos and " + result.late(2) + " orders late of " + result.served());
         }
     }
 
@@ -108,8 +109,9 @@
 
     @Test
     void badArgumentsAreNamed() {
-        for (List<String> bad : List.of(List.of("--load", "0"), List.of("--seeds", "0"), List.of("--loud", "z=2"),
-                List.of("--svg", "x.svg"), List.of("--pairs", "--honesty"), List.of("--loud", "a=-1"))) {
+        for (List<String> bad : List.of(List.of("--load", "0"), List.of("--seeds", "0"),
+                List.of("--loud", "z=2"), List.of("--svg", "x.svg"),
+                List.of("--pairs", "--honesty"), List.of("--loud", "a=-1"))) {
             run(2, bad.toArray(String[]::new));
         }
     }
