Take out a door that fails with what it is told, and read the clock once a request

Need: docs/admission.md says that a door that fails costs no request its answer. That held for arrivals and turns, but not where it throws at hearing of a first attempt, an end or a latency; and one that had failed in the midst of a turn could have refused what had gone in meanwhile. Off, a request read the clock twice for the door's sake.

Change: what the door is told is guarded as its turns are; what has gone in is not taken in again or refused by a dead door; the time taken is read once. DoorTest's two silent entries are one record.

--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -89,7 +89,7 @@
             if (!over) {
                 bounds.leave();
                 if (entry != null) {
-                    entry.ended();
+                    tellDoor(entry::ended);
                 }
             }
             over = true;
@@ -109,6 +109,9 @@
 
         @Override
         public void refused(long retryAfterUs) {
+            if (offered) {
+                return; // By a door that has failed: the module has it now, and may have sent it.
+            }
             // A time that it may count on comes before what its route says in general.
             reply.refused(retryAfterUs > 0 ? retryAfterUs : bounds.adviseUs(0));
             end();
@@ -167,7 +170,7 @@
             request.forgetIfDone();
             long tookUs = clock.nowUs() - sentUs;
             if (admission != null && result == Result.OK) {
-                admission.served(request.request.classIndex(), tookUs);
+                tellDoor(() -> admission.served(request.request.classIndex(), tookUs));
             }
             stallUs = Math.min(stallUs + stall.us(), tookUs);
             enter(request, () -> balancer.onOutcome(clock.nowUs(),
@@ -299,6 +302,18 @@
         }
     }
 
+    /** A fault in what the door makes of it is the door's alone. */
+    private void tellDoor(Runnable what) {
+        if (admission == null) {
+            return;
+        }
+        try {
+            what.run();
+        } catch (RuntimeException | Error e) {
+            doorFailed(e);
+        }
+    }
+
     /** The node goes on without a door rather than behind a broken one, and what stood there goes in. */
     private void doorFailed(Throwable why) {
         LOG.log(Level.ERROR, "the door has failed and is taken out", why);
@@ -349,11 +364,12 @@
             return;
         }
         // The client's time has been running while a loop that was behind left the request unread.
-        long arrivedUs = clock.nowUs() - Math.max(waitedUs, stall.us());
+        long takenUs = clock.nowUs();
+        long arrivedUs = takenUs - Math.max(waitedUs, stall.us());
         long leftUs = Math.min(request.remainingUs(), bounds.totalUs());
         Held taken = new Held(request, reply, bounds,
                 arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART),
-                clock.nowUs(), arrivedUs);
+                takenUs, arrivedUs);
         held.put(request.id(), taken);
         taken.guard = clock.at(arrivedUs + leftUs, () -> expire(taken));
         reply.whenGone(() -> leave(taken));
@@ -373,6 +389,9 @@
 
     /** Has the module decide on it. */
     private void offer(Held taken) {
+        if (taken.offered) {
+            return;
+        }
         taken.offered = true;
         enter(taken, () -> {
             ClientRequest request = taken.request;
@@ -418,7 +437,7 @@
         long until = untilUs <= 0 ? request.deadlineUs : Math.min(untilUs, request.deadlineUs);
         until = Math.min(until - now, request.bounds.attemptUs()) + now;
         if (request.entry != null && request.sent.isEmpty()) {
-            request.entry.sent();
+            tellDoor(request.entry::sent);
         }
         Sent sent = new Sent(request, request.sent.size(), serverId, now, until);
         request.sent.add(sent);
--- a/src/test/java/vetchpost/core/DoorTest.java
+++ b/src/test/java/vetchpost/core/DoorTest.java
@@ -227,13 +227,30 @@
         assertTrue(asked.stream().allMatch(a -> a.served && a.answers == 1));
     }
 
-    /** Fails when it is asked for the third time. */
+    /** What a door is told; it fails at the first word, or passes over all. */
+    private record Told(boolean breaks) implements Admission.Entry {
+        @Override
+        public void sent() {
+            ended();
+        }
+
+        @Override
+        public void ended() {
+            if (breaks) {
+                throw new IllegalStateException("planted");
+            }
+        }
+    }
+
+    /** Fails when it is asked for the third time, or with what it is told, holding all back. */
     private static final class Broken implements Admission {
         private final boolean inArrival;
+        private final boolean breaksWhenTold;
         private int calls;
 
-        Broken(boolean inArrival) {
+        Broken(boolean inArrival, boolean breaksWhenTold) {
             this.inArrival = inArrival;
+            this.breaksWhenTold = breaksWhenTold;
         }
 
         @Override
@@ -242,13 +259,7 @@
             if (inArrival && ++calls == 3) {
                 throw new IllegalStateException("planted");
             }
-            return new Entry() {
-                @Override
-                public void sent() { }
-
-                @Override
-                public void ended() { }
-            };
+            return new Told(breaksWhenTold);
         }
 
         @Override
@@ -275,7 +286,7 @@
         list();
         for (boolean inArrival : new boolean[] {true, false}) {
             asked.clear();
-            node.admission(new Broken(inArrival));
+            node.admission(new Broken(inArrival, false));
             for (int i = 0; i < 4; i++) {
                 ask();
             }
@@ -286,6 +297,19 @@
         }
     }
 
+    @Test
+    void aDoorThatFailsWithWhatItIsToldCostsNoRequestItsAnswer() {
+        list();
+        node.admission(new Broken(false, true));
+        ask();
+        Asked leaver = ask();
+        leaver.gone.run();
+        assertEquals(null, node.admission(), "it is taken out");
+        serveAll();
+        assertTrue(asked.get(0).served && asked.get(0).answers == 1, "and what it held goes in");
+        assertEquals(0, node.held());
+    }
+
     @Test
     void aTimeThatWasPromisedComesBeforeWhatARouteSays() {
         list();
@@ -304,13 +328,7 @@
             public Entry arrive(long nowUs, ClientRequest request, long connection, long waitedUs,
                     long deadlineUs, Entrant entrant) {
                 come.add(entrant);
-                return new Entry() {
-                    @Override
-                    public void sent() { }
-
-                    @Override
-                    public void ended() { }
-                };
+                return new Told(false);
             }
 
             @Override
