Test that the door lets go of what a stopped fleet can't do, and that classes go by value

Need: the looks at what waits, and the classes' weights, could be switched off with no test failing.

Change: a fleet that stops with queues full, and two classes of different worth, each asked for more than there is.

--- a/src/test/java/vetchpost/admission/FairAdmissionTest.java
+++ b/src/test/java/vetchpost/admission/FairAdmissionTest.java
@@ -354,6 +354,34 @@
                 + " and " + way.servedOf(1));
     }
 
+    @Test
+    void whatWaitsBeforeAFleetThatHasStoppedIsRefusedWhenItCantBeInTime() {
+        Doorway way = new Doorway(1, Doorway.settings(1, AIM));
+        int[] n = new int[1];
+        way.every(5_000, way.now + SECOND, () -> way.ask(0, "k" + n[0]++));
+        way.run(SECOND);
+        assertTrue(way.door.waiting() > 5, way.door.waiting() + " wait");
+        way.servers = 0;
+        way.run(AIM);
+        assertEquals(0, way.door.waiting());
+        // One look later at most, where nothing was known yet of how fast it goes.
+        assertTrue(way.all.stream().allMatch(a -> !a.refused || a.endedUs - a.askedUs <= AIM + 10_000));
+    }
+
+    @Test
+    void theMoreValuableClassGoesFirstAndTheOtherIsNotStarved() {
+        Settings platform = Doorway.settings(1, AIM);
+        platform.classes.add(new RequestClass("place-order", AIM, 0, 10 * AIM, 5, 0, Repeat.UNSAFE, Group.ALL,
+                0, false));
+        Doorway way = new Doorway(4, platform);
+        int[] n = new int[1];
+        way.every(1_000, way.now + 10 * SECOND, () -> way.ask(0, n[0] % 2, "c" + n[0]++));
+        way.run(12 * SECOND);
+        long pages = way.all.stream().filter(a -> a.cls == 0 && a.served()).count();
+        long orders = way.all.stream().filter(a -> a.cls == 1 && a.served()).count();
+        assertTrue(orders > 5 * pages && pages > 30, orders + " orders and " + pages + " pages");
+    }
+
     @Test
     void roomIsMadeAgainAndAgainWithoutLosingAFlow() {
         Settings platform = Doorway.settings(40, 300_000);
