Hold the margin between the module's deadline and the client's by a test

A margin of 0 failed no test. The new one tells the module's time left for long and short waits and for requests that lay unread; with the margin at 0 it fails (475,000 expected, 500,000 told).

--- /dev/null
+++ b/src/test/java/vetchpost/core/AnswerMarginTest.java
@@ -0,0 +1,75 @@
+package vetchpost.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.lang.reflect.Proxy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+
+import vetchpost.decision.Balancer;
+import org.junit.jupiter.api.Test;
+
+/** The module's deadline lies before the client's: an answer needs time to be written and read. */
+class AnswerMarginTest {
+    private static final long NOW = 1_000_000;
+    private final List<Balancer.Request> told = new ArrayList<>();
+    private final Clock clock = new Clock() {
+        @Override
+        public long nowUs() {
+            return NOW;
+        }
+
+        @Override
+        public Timer at(long us, Runnable task) {
+            return () -> { };
+        }
+    };
+
+    private static <T> T stub(Class<T> type) {
+        return type.cast(Proxy.newProxyInstance(type.getClassLoader(), new Class<?>[] {type},
+                (proxy, method, args) -> null));
+    }
+
+    private final Balancer module = (Balancer) Proxy.newProxyInstance(Balancer.class.getClassLoader(),
+            new Class<?>[] {Balancer.class}, (proxy, method, args) -> {
+                if (method.getName().equals("onRequest")) {
+                    told.add((Balancer.Request) args[1]);
+                }
+                return null;
+            });
+
+    private final Dispatcher node = new Dispatcher(clock, new Stall(clock), stub(ServerTransport.class),
+            List.of(), () -> { }, () -> { }, 1_000_000, actions -> module);
+
+    private long leftUs(long remainingUs, long waitedUs) {
+        Fields none = new Fields() {
+            @Override
+            public String get(String name) {
+                return null;
+            }
+
+            @Override
+            public void forEach(BiConsumer<String, String> action) { }
+        };
+        node.take(new ClientRequest(told.size(), 0, -1, remainingUs, 0, false, "GET", "/", none,
+                new byte[0]), stub(NoReply.class), waitedUs);
+        return told.get(told.size() - 1).leftUs();
+    }
+
+    /** A reply whose numbers need no value. */
+    interface NoReply extends ClientReply {
+        @Override
+        default long connection() {
+            return 0;
+        }
+    }
+
+    @Test
+    void theModuleIsToldOfLessThanTheClientsTime() {
+        assertEquals(475_000, leftUs(500_000, 0), "25 ms of a long wait are kept");
+        assertEquals(175_000, leftUs(200_000, 0), "an eighth and 25 ms are the same here");
+        assertEquals(70_000, leftUs(80_000, 0), "an eighth of a short one");
+        assertEquals(375_000, leftUs(500_000, 100_000), "what it lay unread is the client's time too");
+    }
+}
