Let bodies pass the core bit by bit, and exchanges differ from the platform's

Web servers and browsers send bodies of any size and answers of any status. The core now knows a body's held part and its rest (BodySource, BodySink): an answer may begin before it is whole (Sending.begun: no deadline and no repeat from there on, latency to its first byte), a request with a rest is sent at most once after any of it was taken (OnceBounds), and a server's own error can be passed on where a protocol does so. The pool writes and reads by an Exchange and the client side opens a ClientLine; both are the platform's unless another is given. Nothing uses them yet.

--- a/src/main/java/vetchpost/core/ClientReply.java
+++ b/src/main/java/vetchpost/core/ClientReply.java
@@ -14,6 +14,14 @@
     /** No promise about its effect. */
     void failed(Failure why);
 
+    /**
+     * A server's own word for what went wrong, once nothing more is tried. A protocol that passes such words
+     * on has now answered; the others return false and are told in their own.
+     */
+    default boolean errored(Answer error) {
+        return false;
+    }
+
     /** A number that all requests of a client's connection have, and no other's; 0 where there are none. */
     default long connection() {
         return 0;
--- a/src/main/java/vetchpost/core/ClientRequest.java
+++ b/src/main/java/vetchpost/core/ClientRequest.java
@@ -11,6 +11,18 @@
  * @param retry true if the client is known to repeat itself
  * @param target path and query, as the client wrote them
  * @param fields what goes on to a server: all but what belongs to the client's connection
+ * @param body all of it, or what is held of it
+ * @param rest what follows the body that is held; null if that is all
+ * @param length of the whole body in bytes; the largest number if the client doesn't say
  */
 public record ClientRequest(long id, int classIndex, int tenant, long remainingUs, long workUs,
-        boolean retry, String method, String target, Fields fields, byte[] body) { }
+        boolean retry, String method, String target, Fields fields, byte[] body, BodySource rest,
+        long length) {
+
+    /** With all of its body. */
+    public ClientRequest(long id, int classIndex, int tenant, long remainingUs, long workUs, boolean retry,
+            String method, String target, Fields fields, byte[] body) {
+        this(id, classIndex, tenant, remainingUs, workUs, retry, method, target, fields, body, null,
+                body.length);
+    }
+}
--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -48,6 +48,7 @@
     private RoutePolicy routes = RoutePolicy.NONE;
     private Subset subset;
     private Admission admission;
+    private Witness witness;
     private boolean advancing;
     private Clock.Timer turn;
     private long turnUs = Long.MAX_VALUE;
@@ -72,6 +73,10 @@
         private Clock.Timer guard;
         private int out;
         private boolean over;
+        /** The answer is on its way to the client, bit by bit. */
+        private boolean streaming;
+        /** The last error that a server has answered, for clients that are passed such on. */
+        private Answer error;
 
         Held(ClientRequest request, ClientReply reply, RouteBounds bounds, long deadlineUs, long takenUs,
                 long arrivedUs) {
@@ -86,11 +91,8 @@
 
         /** Nothing is owed any more; what waits for a connection must not be sent. */
         void end() {
-            if (!over) {
-                bounds.leave();
-                if (entry != null) {
-                    tellDoor(entry::ended);
-                }
+            if (!over && !streaming) {
+                leave();
             }
             over = true;
             guard.cancel();
@@ -102,6 +104,14 @@
             forgetIfDone();
         }
 
+        /** Counts it off; of an answer that is passed on bit by bit, at its end. */
+        void leave() {
+            bounds.leave();
+            if (entry != null) {
+                tellDoor(entry::ended);
+            }
+        }
+
         @Override
         public void admitted() {
             offer(this);
@@ -135,6 +145,8 @@
         private Clock.Timer timer;
         private long stallUs;
         private boolean over;
+        /** When its answer began to be passed on, or 0. */
+        private long begunUs;
 
         Sent(Held request, int number, String serverId, long sentUs, long untilUs) {
             this.request = request;
@@ -156,6 +168,21 @@
             return untilUs - clock.nowUs();
         }
 
+        @Override
+        public boolean begun(Answer answer) {
+            if (request.over) {
+                return false;
+            }
+            begunUs = clock.nowUs();
+            // From here on it takes as long as it takes, and whoever passes it on watches that it goes on.
+            timer.cancel();
+            request.streaming = true;
+            request.end();
+            request.reply.served(answer);
+            enter(request, () -> balancer.onFirstByte(clock.nowUs(), request.id, number));
+            return true;
+        }
+
         @Override
         public void ended(Result result, Answer answer) {
             over = true;
@@ -163,18 +190,26 @@
             if (timer != null) {
                 timer.cancel();
             }
-            if (result == Result.OK && !request.over) {
+            if (begunUs > 0) {
+                request.leave();
+            } else if (result == Result.OK && !request.over) {
                 request.reply.served(answer);
                 request.end();
+            } else if (result == Result.ERROR) {
+                request.error = answer;
             }
             request.forgetIfDone();
-            long tookUs = clock.nowUs() - sentUs;
+            // How long a body takes is its length's affair and its reader's.
+            long tookUs = (begunUs > 0 ? begunUs : clock.nowUs()) - sentUs;
             if (admission != null && result == Result.OK) {
                 tellDoor(() -> admission.served(request.request.classIndex(), tookUs));
             }
             stallUs = Math.min(stallUs + stall.us(), tookUs);
             enter(request, () -> balancer.onOutcome(clock.nowUs(),
                     new Outcome(request.id, number, result, tookUs, request.over, null, stallUs)));
+            if (witness != null) {
+                witness.ended(serverId, result, answer, stallUs > tookUs / 2, clock.nowUs());
+            }
             if (subset != null) {
                 List<ServerList.Target> changes = subset.ended(serverId, result, clock.nowUs());
                 if (!changes.isEmpty()) {
@@ -228,6 +263,11 @@
         subset = part;
     }
 
+    /** Has this see how attempts end, besides the module; null for nobody. */
+    public void witness(Witness other) {
+        witness = other;
+    }
+
     /** Has requests from now on stand before this door, or before none if it is null. */
     public void admission(Admission door) {
         Admission before = admission;
@@ -355,7 +395,7 @@
             reply.failed(Failure.BAD_PATH);
             return;
         }
-        if (request.body().length > bounds.bodyBytes()) {
+        if (request.length() > bounds.bodyBytes()) {
             reply.failed(Failure.TOO_LARGE);
             return;
         }
@@ -367,7 +407,7 @@
         long takenUs = clock.nowUs();
         long arrivedUs = takenUs - Math.max(waitedUs, stall.us());
         long leftUs = Math.min(request.remainingUs(), bounds.totalUs());
-        Held taken = new Held(request, reply, bounds,
+        Held taken = new Held(request, reply, request.rest() == null ? bounds : new OnceBounds(bounds),
                 arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART),
                 takenUs, arrivedUs);
         held.put(request.id(), taken);
@@ -419,11 +459,18 @@
 
     private void fail(Held request, Failure why) {
         if (!request.over) {
-            request.reply.failed(why);
+            if (why != Failure.GIVEN_UP || !saysError(request)) {
+                request.reply.failed(why);
+            }
             request.end();
         }
     }
 
+    /** Whether a server's own error was passed on for what the module has given up. */
+    private static boolean saysError(Held request) {
+        return request.error != null && request.reply.errored(request.error);
+    }
+
     // ---------------------------------------------------------------- the module's actions
 
     @Override
@@ -465,7 +512,9 @@
     public void refuse(long requestId, long retryAfterUs) {
         Held request = held.get(requestId);
         if (request != null && !request.over) {
-            request.reply.refused(request.bounds.adviseUs(retryAfterUs));
+            if (!saysError(request)) {
+                request.reply.refused(request.bounds.adviseUs(retryAfterUs));
+            }
             request.end();
         }
     }
--- a/src/main/java/vetchpost/core/RouteBounds.java
+++ b/src/main/java/vetchpost/core/RouteBounds.java
@@ -17,9 +17,9 @@
         return Long.MAX_VALUE;
     }
 
-    /** The longest body. */
-    default int bodyBytes() {
-        return Integer.MAX_VALUE;
+    /** The longest body, in bytes; the largest number for any. */
+    default long bodyBytes() {
+        return Long.MAX_VALUE;
     }
 
     /** Takes one more request in hand; false if there are as many as may be. */
--- a/src/main/java/vetchpost/core/ServerTransport.java
+++ b/src/main/java/vetchpost/core/ServerTransport.java
@@ -33,6 +33,16 @@
 
         /** How long the server is waited for from now on, in microseconds. */
         long waitUs();
+
+        /**
+         * The answer has begun and is passed on as it comes: it is the final one, whatever becomes of it. The
+         * report, once it has ended, tells whether it was whole.
+         *
+         * @return false if nobody waits for it any more
+         */
+        default boolean begun(Answer answer) {
+            return false;
+        }
     }
 
     /** Takes in the list: new servers, moved ones, restarted ones and those that are gone. */
--- a/src/main/java/vetchpost/http/AnswerReader.java
+++ b/src/main/java/vetchpost/http/AnswerReader.java
@@ -26,21 +26,24 @@
     private static final int MOST_INFORMATIONAL = 16;
     private static final byte[] NONE = {};
 
-    /** What has come can't be the answer to anything. */
-    static final class Spoilt extends Exception {
-        private static final long serialVersionUID = 1;
-
-        Spoilt() {
-            super("spoilt answer", null, false, false);
-        }
-    }
-
     /** Netty's decoder without its leniency: a line read in two ways may be no header at all. */
     static final class Decoder extends HttpResponseDecoder {
+        /** Whether the answer that is read is one to HEAD. */
+        private boolean head;
+
         Decoder() {
             super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEADERS));
         }
 
+        void expect(boolean toHead) {
+            head = toHead;
+        }
+
+        @Override
+        protected boolean isContentAlwaysEmpty(HttpMessage message) {
+            return head || super.isContentAlwaysEmpty(message);
+        }
+
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
             // Netty ends a response's name at white space too, and then does without a colon.
@@ -68,9 +71,9 @@
     }
 
     /** Takes in the next part; whether the answer is now whole. */
-    boolean read(HttpObject part) throws Spoilt {
+    boolean read(HttpObject part) throws Exchange.Spoilt {
         if (whole || part.decoderResult().isFailure()) {
-            throw new Spoilt();
+            throw new Exchange.Spoilt();
         }
         if (part instanceof HttpResponse response) {
             begin(response);
@@ -84,21 +87,21 @@
         return whole;
     }
 
-    private void begin(HttpResponse response) throws Spoilt {
+    private void begin(HttpResponse response) throws Exchange.Spoilt {
         head = response;
         long length = HttpUtil.getContentLength(response, 0L);
         // No use reading what can't be passed on; and nobody has asked for another protocol.
         if (length > MAX_BODY || response.protocolVersion().majorVersion() != 1
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
-            throw new Spoilt();
+            throw new Exchange.Spoilt();
         }
         body = length > 0 ? new byte[(int) length] : NONE;
     }
 
-    private void add(ByteBuf content) throws Spoilt {
+    private void add(ByteBuf content) throws Exchange.Spoilt {
         int more = content.readableBytes();
         if (size + more > MAX_BODY) {
-            throw new Spoilt();
+            throw new Exchange.Spoilt();
         }
         if (size + more > body.length) {
             body = Arrays.copyOf(body, Math.min(MAX_BODY, Math.max(size + more, 2 * body.length)));
@@ -107,10 +110,10 @@
         size += more;
     }
 
-    private void end() throws Spoilt {
+    private void end() throws Exchange.Spoilt {
         if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
             if (++informational > MOST_INFORMATIONAL) {
-                throw new Spoilt();
+                throw new Exchange.Spoilt();
             }
             body = NONE;
             size = 0;
@@ -118,7 +121,7 @@
         }
         if (head.status().code() == 200 && !isFramed()) {
             // It ended with its connection: a process that died half way looks the same.
-            throw new Spoilt();
+            throw new Exchange.Spoilt();
         }
         whole = true;
     }
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -36,7 +36,7 @@
 import io.netty.util.ReferenceCountUtil;
 
 /** One client's connection: its requests one by one, an answer to each, and what it may cost meanwhile. */
-final class ClientConnection extends ChannelInboundHandlerAdapter {
+final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientLine {
     private static final Logger LOG = System.getLogger(ClientConnection.class.getName());
     private static final int MAX_BODY = 64 * 1024;
     /** Requests that a client may send ahead of its answers before it is no longer read. */
@@ -89,13 +89,13 @@
                 connection.new BodyReader(), connection);
     }
 
-    /** Whether closing it costs nobody an answer: nothing is held, and nothing has begun to come. */
-    boolean isIdle() {
+    @Override
+    public boolean isIdle() {
         return held == null && unwritten == 0 && ahead.isEmpty() && !decoder.isMidRequest();
     }
 
-    /** Since when it has been so, by the loop's ticker. */
-    long restingSinceNs() {
+    @Override
+    public long restingSinceNs() {
         return asked ? answeredNs : openedNs;
     }
 
@@ -104,12 +104,13 @@
         return number;
     }
 
-    void close() {
+    @Override
+    public void close() {
         channel.close();
     }
 
-    /** Closes the connection if its client has kept it waiting for too long. */
-    void closeIfOverdue(long nowNs) {
+    @Override
+    public void closeIfOverdue(long nowNs) {
         if (ending || unwritten > 0) {
             if (nowNs - answeredNs > PATIENCE_NS) {
                 close();
--- /dev/null
+++ b/src/main/java/vetchpost/http/ClientLine.java
@@ -0,0 +1,25 @@
+package vetchpost.http;
+
+import io.netty.channel.ChannelPipeline;
+
+/** A client's connection, as the client side as a whole looks after it. */
+public interface ClientLine {
+
+    /** Sets up a client's connection. */
+    interface Opener {
+        /** Puts its handlers into the pipeline. */
+        void open(ClientServer server, ChannelPipeline pipeline);
+    }
+
+    /** Whether closing it costs nobody an answer: nothing is held, and nothing has begun to come. */
+    boolean isIdle();
+
+    /** Since when it has been so, by the loop's ticker. */
+    long restingSinceNs();
+
+    /** Closes it if its client has kept it waiting for too long. */
+    void closeIfOverdue(long nowNs);
+
+    /** Closes it as it is. */
+    void close();
+}
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -26,6 +26,7 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
 
 /** The client side as a whole: which connections are accepted, kept and closed. */
@@ -59,11 +60,12 @@
     private final Sockets sockets;
     private final RequestReader reader;
     private final Taker taker;
+    private final ClientLine.Opener opener;
     private final InHand inHand = InHand.partOfHeap();
     /** Open connections that have sent a whole request; those heard from most recently last. */
-    private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final Set<ClientLine> connections = new LinkedHashSet<>();
     /** Those that have sent none so far, oldest first. */
-    private final Set<ClientConnection> silent = new LinkedHashSet<>();
+    private final Set<ClientLine> silent = new LinkedHashSet<>();
     private ScheduledFuture<?> sweeper;
     private Channel listening;
     private String rehearsal;
@@ -75,6 +77,13 @@
 
     /** Not listening yet. */
     public ClientServer(EventLoop loop, Network network, Sockets sockets, Settings settings, Taker taker) {
+        this(loop, network, sockets, settings, taker, null);
+    }
+
+    /** The same, with connections other than the platform's; null for those. */
+    public ClientServer(EventLoop loop, Network network, Sockets sockets, Settings settings, Taker taker,
+            ClientLine.Opener opener) {
+        this.opener = opener;
         this.loop = loop;
         this.network = network;
         this.sockets = sockets;
@@ -98,7 +107,7 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        ClientConnection.open(ClientServer.this, channel.pipeline());
+                        open(channel.pipeline());
                     }
                 }).bind(address);
         listening = binding.channel();
@@ -108,7 +117,7 @@
 
     private void sweep() {
         long now = nanos();
-        for (Set<ClientConnection> some : List.of(silent, connections)) {
+        for (Set<ClientLine> some : List.of(silent, connections)) {
             // A copy: what is closed is taken out at once.
             new ArrayList<>(some).forEach(c -> c.closeIfOverdue(now));
         }
@@ -147,8 +156,8 @@
     public void stopAccepting() {
         closing = true;
         listening.close();
-        for (Set<ClientConnection> some : List.of(silent, connections)) {
-            new ArrayList<>(some).stream().filter(ClientConnection::isIdle).forEach(ClientConnection::close);
+        for (Set<ClientLine> some : List.of(silent, connections)) {
+            new ArrayList<>(some).stream().filter(ClientLine::isIdle).forEach(ClientLine::close);
         }
     }
 
@@ -160,25 +169,28 @@
         }
     }
 
-    InHand inHand() {
+    /** What requests take, over all connections. */
+    public InHand inHand() {
         return inHand;
     }
 
     /** Whether connections end with their answers. */
-    boolean endsConnections() {
+    public boolean endsConnections() {
         return draining || sockets.areClientsCrowded();
     }
 
-    boolean isClosing() {
+    /** Whether no connection is kept that owes no answer. */
+    public boolean isClosing() {
         return closing;
     }
 
     /** Why the node is not to be sent clients, or null. */
-    String notReady() {
+    public String notReady() {
         return draining ? "stopping" : ready ? null : "starting";
     }
 
-    boolean isRehearsal(FullHttpRequest http) {
+    /** Whether it is part of the rehearsal, and to be answered on the spot. */
+    public boolean isRehearsal(HttpRequest http) {
         return rehearsal != null && rehearsal.equals(http.headers().get(REHEARSAL));
     }
 
@@ -186,23 +198,28 @@
         return reader.read(http);
     }
 
-    void take(ClientRequest request, ClientReply reply, long arrivedNs) {
+    /** Takes a request whose last byte was read then, by the loop's ticker, and owes its reply. */
+    public void take(ClientRequest request, ClientReply reply, long arrivedNs) {
         taker.take(request, reply, (nanos() - arrivedNs) / 1_000);
     }
 
     /** The number of one more connection. */
-    long nextNumber() {
+    public long nextNumber() {
         return ++numbered;
     }
 
     /** The loop's time, also for a connection that has a loop of its own. */
-    long nanos() {
+    public long nanos() {
         return loop.ticker().nanoTime();
     }
 
     /** Sets up a connection that came another way than through the listening socket. */
     public void open(ChannelPipeline pipeline) {
-        ClientConnection.open(this, pipeline);
+        if (opener == null) {
+            ClientConnection.open(this, pipeline);
+        } else {
+            opener.open(this, pipeline);
+        }
     }
 
     /** Bytes that requests in hand take; 0 when there are none. */
@@ -210,7 +227,8 @@
         return inHand.bytes();
     }
 
-    void opened(ClientConnection connection) {
+    /** It has been accepted. */
+    public void opened(ClientLine connection) {
         sockets.addClient();
         if (!sockets.makeClientRoom()) {
             pauseAccepting();
@@ -219,13 +237,14 @@
     }
 
     /** It has sent a whole request. */
-    void heardFrom(ClientConnection connection) {
+    public void heardFrom(ClientLine connection) {
         if (silent.remove(connection) || connections.remove(connection)) {
             connections.add(connection);
         }
     }
 
-    void closed(ClientConnection connection) {
+    /** It has closed. */
+    public void closed(ClientLine connection) {
         if (silent.remove(connection) || connections.remove(connection)) {
             sockets.removeClient();
         }
@@ -245,8 +264,8 @@
         return closeOldestIdle(silent, beforeNs) || closeOldestIdle(connections, beforeNs);
     }
 
-    private boolean closeOldestIdle(Set<ClientConnection> some, long beforeNs) {
-        for (ClientConnection connection : some) {
+    private boolean closeOldestIdle(Set<ClientLine> some, long beforeNs) {
+        for (ClientLine connection : some) {
             if (connection.isIdle() && connection.restingSinceNs() - beforeNs < 0) {
                 connection.close();
                 // Counted off here: Netty tells of it only later, and what waits would take it for no room.
--- a/src/main/java/vetchpost/http/InHand.java
+++ b/src/main/java/vetchpost/http/InHand.java
@@ -4,7 +4,7 @@
  * The memory that requests take which are being read, wait their turn or are held, over all connections:
  * each may be small, and hundreds of them are still more than the heap.
  */
-final class InHand {
+public final class InHand {
     /** What a request takes besides its body: headers and the objects around them. */
     private static final int PER_REQUEST = 2_048;
     /** Headers as objects take so many times their bytes. */
@@ -22,12 +22,13 @@
         return new InHand(Runtime.getRuntime().maxMemory() / 4);
     }
 
-    static long costOf(int headBytes, int bodyBytes) {
+    /** What a request takes with so many bytes of head and body. */
+    public static long costOf(int headBytes, int bodyBytes) {
         return PER_REQUEST + (long) HEADERS_BY * headBytes + bodyBytes;
     }
 
     /** Counts so much more, if there is room for it. */
-    boolean add(long more) {
+    public boolean add(long more) {
         if (bytes + more > most) {
             return false;
         }
@@ -39,7 +40,8 @@
         return bytes;
     }
 
-    void remove(long less) {
+    /** Counts so much less. */
+    public void remove(long less) {
         bytes -= less;
     }
 }
--- /dev/null
+++ b/src/main/java/vetchpost/http/PlainExchange.java
@@ -0,0 +1,60 @@
+package vetchpost.http;
+
+import vetchpost.core.Answer;
+import vetchpost.decision.Balancer.Result;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpObject;
+
+/** A request and an answer of the platform's: short, whole, and 200 or nothing. */
+final class PlainExchange implements Exchange {
+    private static final String TURNED_AWAY = "X-Turned-Away";
+
+    private final FullHttpRequest message;
+    private final AnswerReader reader = new AnswerReader();
+
+    PlainExchange(FullHttpRequest message) {
+        this.message = message;
+    }
+
+    @Override
+    public ChannelFuture write(Channel channel) {
+        return channel.writeAndFlush(message);
+    }
+
+    @Override
+    public boolean isHead() {
+        return false;
+    }
+
+    @Override
+    public boolean read(HttpObject part) throws Spoilt {
+        return reader.read(part);
+    }
+
+    @Override
+    public boolean isWhole() {
+        return reader.isWhole();
+    }
+
+    @Override
+    public boolean isReusable() {
+        return reader.isKeepAlive();
+    }
+
+    @Override
+    public Result result() {
+        int status = reader.status();
+        boolean away = (status == 503 || status == 504) && "1".equals(reader.header(TURNED_AWAY));
+        return status == 200 ? Result.OK : away ? Result.FULL : Result.ERROR;
+    }
+
+    @Override
+    public Answer answer() {
+        return reader.answer();
+    }
+
+    @Override
+    public void broken() { }
+}
--- a/src/main/java/vetchpost/http/RequestDecoder.java
+++ b/src/main/java/vetchpost/http/RequestDecoder.java
@@ -10,18 +10,19 @@
 import io.netty.handler.codec.http.LastHttpContent;
 
 /** Netty's decoder of requests, strict about their length, and telling whether one has begun to come. */
-final class RequestDecoder extends HttpRequestDecoder {
+public final class RequestDecoder extends HttpRequestDecoder {
     static final int MAX_LINE = 8_192;
     static final int MAX_HEADERS = 16_384;
 
     private boolean begun;
 
-    RequestDecoder() {
+    /** With the bounds of the platform's requests. */
+    public RequestDecoder() {
         super(new HttpDecoderConfig().setMaxInitialLineLength(MAX_LINE).setMaxHeaderSize(MAX_HEADERS));
     }
 
     /** Whether part of a request has come, and not yet its end. */
-    boolean isMidRequest() {
+    public boolean isMidRequest() {
         return begun || actualReadableBytes() > 0;
     }
 
--- a/src/main/java/vetchpost/http/ServerPool.java
+++ b/src/main/java/vetchpost/http/ServerPool.java
@@ -41,13 +41,12 @@
  * told, once, and reports how that ended; nothing here sends again.
  */
 public final class ServerPool implements ServerTransport {
-    private static final String TURNED_AWAY = "X-Turned-Away";
     private static final long SWEEP_MS = 500;
 
     /** Who wants an attempt: what to send, and where to report. */
     interface Caller extends Report {
-        /** The message, asked for when it goes out. */
-        FullHttpRequest message();
+        /** The request and its answer, asked for when it goes out. */
+        Exchange exchange();
     }
 
     /** A server as the pool knows it. */
@@ -112,6 +111,7 @@
                 }
             }
             used.attempt = null;
+            used.exchange.broken();
             // Its answer may still come: the connection can't carry another request.
             used.channel.close();
             if (result == Result.TIMEOUT && server.heardNs - sentNs < 0) {
@@ -132,6 +132,7 @@
     private final EventLoop loop;
     private final Network network;
     private final Sockets sockets;
+    private final Exchange.Maker exchanges;
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
     private final ScheduledFuture<?> sweeper;
@@ -145,6 +146,13 @@
      */
     public ServerPool(EventLoop loop, Network network, Sockets sockets, long dialTimeoutUs,
             long connIdleUs) {
+        this(loop, network, sockets, dialTimeoutUs, connIdleUs, null);
+    }
+
+    /** The same, with exchanges other than the platform's; null for those. */
+    public ServerPool(EventLoop loop, Network network, Sockets sockets, long dialTimeoutUs,
+            long connIdleUs, Exchange.Maker exchanges) {
+        this.exchanges = exchanges;
         this.loop = loop;
         this.network = network;
         this.sockets = sockets;
@@ -214,8 +222,9 @@
     public ServerTransport.Attempt send(String serverId, Sending sending) {
         return start(serverId, new Caller() {
             @Override
-            public FullHttpRequest message() {
-                return HeaderFields.message(sending.request(), sending.waitUs());
+            public Exchange exchange() {
+                return exchanges != null ? exchanges.of(sending)
+                        : new PlainExchange(HeaderFields.message(sending.request(), sending.waitUs()));
             }
 
             @Override
@@ -229,11 +238,11 @@
     public ServerTransport.Attempt probe(String serverId, Report report) {
         return start(serverId, new Caller() {
             @Override
-            public FullHttpRequest message() {
+            public Exchange exchange() {
                 FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
                         "/health");
                 message.headers().set(HttpHeaderNames.HOST, "backend.local");
-                return message;
+                return new PlainExchange(message);
             }
 
             @Override
@@ -289,12 +298,13 @@
             return;
         }
         channel.closeFuture().addListener(closed -> sockets.removeServer());
-        Connection connection = new Connection(server, generation, channel);
+        AnswerReader.Decoder decoder = new AnswerReader.Decoder();
+        Connection connection = new Connection(server, generation, channel, decoder);
         bootstrap.clone().channelFactory(() -> channel).handler(new ChannelInitializer<Channel>() {
             @Override
             protected void initChannel(Channel fresh) {
                 fresh.pipeline().addLast(connection.new IdleGuard(),
-                        new AnswerReader.Decoder(), new HttpRequestEncoder(), connection);
+                        decoder, new HttpRequestEncoder(), connection);
             }
         }).connect(server.address).addListener(done -> {
             if (!done.isSuccess()) {
@@ -356,10 +366,12 @@
         private Attempt attempt;
         private boolean written;
         private long idleSince;
-        private AnswerReader reader;
+        private final AnswerReader.Decoder decoder;
+        private Exchange exchange;
         private boolean reusable;
 
-        Connection(Server server, int generation, Channel channel) {
+        Connection(Server server, int generation, Channel channel, AnswerReader.Decoder decoder) {
+            this.decoder = decoder;
             this.server = server;
             this.generation = generation;
             this.channel = channel;
@@ -398,9 +410,10 @@
             next.connection = this;
             next.sentNs = nanos();
             written = false;
-            reader = new AnswerReader();
+            exchange = next.caller.exchange();
+            decoder.expect(exchange.isHead());
             // The future tells whether the kernel has taken the last byte; Netty never writes it twice.
-            channel.writeAndFlush(next.caller.message()).addListener(done -> {
+            exchange.write(channel).addListener(done -> {
                 if (attempt != next) {
                     return;
                 }
@@ -408,6 +421,7 @@
                     written = true;
                 } else {
                     attempt = null;
+                    exchange.broken();
                     channel.close();
                     next.end(Result.CONNECT_FAILED, null);
                 }
@@ -424,17 +438,17 @@
         }
 
         private void read(Object message) {
-            if (attempt == null || reader.isWhole()) {
+            if (attempt == null || exchange.isWhole()) {
                 // Nothing was asked for, or more came than the answer.
                 reusable = false;
                 drop();
                 return;
             }
             try {
-                if (message instanceof HttpObject part && reader.read(part)) {
-                    reusable = written && reader.isKeepAlive();
+                if (message instanceof HttpObject part && exchange.read(part)) {
+                    reusable = written && exchange.isReusable();
                 }
-            } catch (AnswerReader.Spoilt e) {
+            } catch (Exchange.Spoilt e) {
                 broken();
             }
         }
@@ -448,23 +462,22 @@
         }
 
         private boolean isAnswered() {
-            return attempt != null && reader.isWhole();
+            return attempt != null && exchange.isWhole();
         }
 
         private void finish() {
             Attempt done = attempt;
-            Answer answer = reader.answer();
+            Answer answer = exchange.answer();
+            Result result = exchange.result();
             server.heardNs = nanos();
-            boolean away = (answer.status() == 503 || answer.status() == 504)
-                    && "1".equals(reader.header(TURNED_AWAY));
             attempt = null;
-            reader = null;
+            exchange = null;
             if (reusable) {
                 park();
             } else {
                 channel.close();
             }
-            done.end(answer.status() == 200 ? Result.OK : away ? Result.FULL : Result.ERROR, answer);
+            done.end(result, answer);
         }
 
         /** The connection or what came on it is broken: only a request not handed over whole never ran. */
@@ -473,6 +486,7 @@
             attempt = null;
             drop();
             if (failed != null) {
+                exchange.broken();
                 failed.end(written ? Result.RESET : Result.CONNECT_FAILED, null);
             }
         }
--- a/src/main/java/vetchpost/routes/FileRoutePolicy.java
+++ b/src/main/java/vetchpost/routes/FileRoutePolicy.java
@@ -124,7 +124,7 @@
         }
 
         @Override
-        public int bodyBytes() {
+        public long bodyBytes() {
             return limits.bodyBytes();
         }
 
--- a/src/test/java/vetchpost/http/ServerPoolTest.java
+++ b/src/test/java/vetchpost/http/ServerPoolTest.java
@@ -63,11 +63,11 @@
         }
 
         @Override
-        public FullHttpRequest message() {
+        public Exchange exchange() {
             FullHttpRequest message = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x",
                     Unpooled.wrappedBuffer(new byte[bodySize]));
             message.headers().set("Content-Length", bodySize);
-            return message;
+            return new PlainExchange(message);
         }
 
         @Override
@@ -398,9 +398,9 @@
         LinkedBlockingQueue<Result> results = new LinkedBlockingQueue<>();
         ServerPool.Caller caller = new ServerPool.Caller() {
             @Override
-            public FullHttpRequest message() {
-                return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/x",
-                        Unpooled.EMPTY_BUFFER);
+            public Exchange exchange() {
+                return new PlainExchange(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                        "/x", Unpooled.EMPTY_BUFFER));
             }
 
             @Override
