--- a/src/main/java/vetchpost/net/Network.java
+++ b/src/main/java/vetchpost/net/Network.java
@@ -2,6 +2,7 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
+import io.netty.channel.socket.DatagramChannel;
 
 /** Where sockets come from: the system, or a simulation's network. */
 public interface Network {
@@ -18,6 +19,11 @@
      */
     Channel connecting();
 
+    /** A socket for datagrams, not bound yet; a network that has none throws. */
+    default DatagramChannel datagrams() {
+        throw new UnsupportedOperationException("no datagrams on this network");
+    }
+
     /** Reads what the system already holds for the channel, and its end, without waiting for the loop. */
     void readNow(Channel channel);
 }
--- a/src/main/java/vetchpost/net/SystemNetwork.java
+++ b/src/main/java/vetchpost/net/SystemNetwork.java
@@ -3,6 +3,8 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.AbstractNioChannel;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 
@@ -18,6 +20,11 @@
         return new NioSocketChannel();
     }
 
+    @Override
+    public DatagramChannel datagrams() {
+        return new NioDatagramChannel();
+    }
+
     @Override
     public void readNow(Channel channel) {
         ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
--- a/src/main/java/vetchpost/routes/Explanation.java
+++ b/src/main/java/vetchpost/routes/Explanation.java
@@ -26,7 +26,7 @@
                 + " of first tries");
         line(text, "concurrency", limits.concurrency() == 0 ? "no limit"
                 : Integer.toString(limits.concurrency()));
-        line(text, "max-body", limits.bodyBytes() + "B");
+        line(text, "max-body", limits.bodyBytes() == Long.MAX_VALUE ? "any" : limits.bodyBytes() + "B");
         line(text, "retry-after", limits.retryAfterUs() < 0 ? "as the module says"
                 : Prover.ms(limits.retryAfterUs()));
         if (limits.attemptUs() > 0) {
--- a/src/main/java/vetchpost/routes/Limits.java
+++ b/src/main/java/vetchpost/routes/Limits.java
@@ -16,7 +16,7 @@
  * @param retryAfterUs what refusals advise; -1: as the module says
  */
 public record Limits(long attemptUs, long totalUs, int attempts, long backoffUs, double jitter,
-        long copyUs, int copyPercentile, double retryBudget, int concurrency, int bodyBytes,
+        long copyUs, int copyPercentile, double retryBudget, int concurrency, long bodyBytes,
         long retryAfterUs) {
 
     /** When the latest attempt of so many could begin, counted from the first, in microseconds. */
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -35,11 +35,9 @@
     private static final int MOST_VIOLATIONS = 10_000;
     private static final int MOST_SERVERS = 1_000_000;
     private static final List<String> FLEET_KEYS = List.of("node", "subset");
-    /** How far a misspelt key may be from the one that was meant. */
-    private static final int NEAR = 3;
 
     private static final Pattern DURATION = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(us|ms|s)");
-    private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KiB)");
+    private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KiB|MiB|GiB)");
 
     /** The keys of limits, in the order of the page for operators. */
     enum Key {
@@ -75,6 +73,8 @@
 
     private final Settings settings;
     private final boolean checking;
+    /** Whether paths are the application's own, and bodies of any length. */
+    private final boolean alone;
     private final List<Violation> violations = new ArrayList<>();
     private final Map<String, RequestClass> classes = new LinkedHashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
@@ -84,21 +84,27 @@
     /** A value that has been read, and where it stands. */
     private record Figure(double value, Position at) { }
 
-    private Prover(Settings settings, boolean checking) {
+    private Prover(Settings settings, boolean checking, boolean alone) {
         this.settings = settings;
         this.checking = checking;
+        this.alone = alone;
         settings.classes.forEach(c -> classes.put(c.name(), c));
         settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
     }
 
     /** Proves a file by the platform's settings. */
     public static Proof prove(List<Section> file, Settings settings) {
-        return new Prover(settings, true).prove(file);
+        return new Prover(settings, true, false).prove(file);
+    }
+
+    /** Proves the file of a node without a platform, by the settings that the same file comes to. */
+    public static Proof proveAlone(List<Section> file, Settings settings) {
+        return new Prover(settings, true, true).prove(file);
     }
 
     /** The same without the rules that need proof, to see in a test what they are for. */
     static Proof believe(List<Section> file, Settings settings) {
-        return new Prover(settings, false).prove(file);
+        return new Prover(settings, false, false).prove(file);
     }
 
     private void violated(Position at, String route, Rule rule, String what, String fits) {
@@ -117,16 +123,16 @@
                 case CLASS -> {
                     if (!classes.containsKey(section.name())) {
                         violated(section.at(), section.name(), Rule.UNKNOWN_CLASS, "there is no class '"
-                                + section.name() + "'", near(section.name(), classes.keySet()));
+                                + section.name() + "'", Near.of(section.name(), classes.keySet()));
                     }
                     byClass.put(section.name(), figures(section));
                     classSections.put(section.name(), section);
                 }
                 case FLEET -> part = part(section);
                 case UNKNOWN -> violated(section.at(), "", Rule.UNKNOWN_TABLE, "'" + section.name()
-                        + "' is no table of this file", near(section.name(),
-                        List.of("defaults", "class", "route", "fleet", "state", "handover",
-                        "admission")));
+                        + "' is no table of this file", Near.of(section.name(),
+                        List.of("node", "classes", "tenants", "pool", "source", "checks", "defaults", "class",
+                        "route", "fleet", "state", "handover", "admission")));
                 default -> { }
             }
         }
@@ -141,7 +147,7 @@
             ofClasses.put(cls.name(), route);
             all.put(cls.name(), route);
         }
-        RouteTable table = new RouteTable(ofClasses);
+        RouteTable table = new RouteTable(ofClasses, alone);
         int routes = 0;
         for (Section section : file) {
             if (section.kind() == Kind.ROUTE && ++routes <= MOST_ROUTES) {
@@ -162,7 +168,7 @@
     private Proof.Part part(Section section) {
         section.entries().forEach((text, entry) -> {
             if (!FLEET_KEYS.contains(text)) {
-                violated(entry.at(), "fleet", Rule.UNKNOWN_KEY, "unknown key '" + text + "'", near(text,
+                violated(entry.at(), "fleet", Rule.UNKNOWN_KEY, "unknown key '" + text + "'", Near.of(text,
                         FLEET_KEYS));
             }
         });
@@ -201,6 +207,10 @@
         String label = "route " + (name == null ? path == null ? "" : path : name);
         List<String> segments = pattern(section, path, label);
         String cls = text(section, Key.CLASS);
+        if (alone) {
+            anywhere(section, path, label, segments, cls, defaults, byClass, table, all);
+            return;
+        }
         if (cls == null && segments != null) {
             cls = segments.get(0);
         }
@@ -216,7 +226,7 @@
         if (known == null) {
             violated(at(section, Key.CLASS, Key.PATH), label, Rule.UNKNOWN_CLASS, "there is no class '"
                     + cls + "'",
-                    near(cls, classes.keySet()));
+                    Near.of(cls, classes.keySet()));
             return;
         }
         if (segments != null && !segments.get(0).equals(cls)) {
@@ -246,6 +256,55 @@
         }
     }
 
+    /** A route of paths that are the application's own: of one class, or of all. */
+    private void anywhere(Section section, String path, String label, List<String> segments, String cls,
+            Map<Key, Figure> defaults, Map<String, Map<Key, Figure>> byClass, RouteTable table,
+            Map<String, Route> all) {
+        if (cls == null && path == null) {
+            violated(section.at(), label, Rule.UNREACHABLE, "it says neither class nor path",
+                    "class or path");
+            return;
+        }
+        if (cls != null && !classes.containsKey(cls)) {
+            violated(at(section, Key.CLASS, Key.PATH), label, Rule.UNKNOWN_CLASS, "there is no class '" + cls
+                    + "'", Near.of(cls, classes.keySet()));
+            return;
+        }
+        String method = text(section, Key.METHOD);
+        Integer tenant = tenant(section, label);
+        Map<Key, Figure> own = figures(section);
+        if (tenant == null || path != null && segments == null) {
+            return;
+        }
+        boolean prefix = segments == null || segments.get(segments.size() - 1).equals("*");
+        List<String> rest = segments == null ? List.of()
+                : segments.subList(0, segments.size() - (prefix ? 1 : 0));
+        String name = label.substring("route ".length());
+        boolean first = true;
+        for (RequestClass each : classes.values()) {
+            if (cls != null && !cls.equals(each.name())) {
+                continue;
+            }
+            Map<Key, Figure> figures = new TreeMap<>(defaults);
+            figures.putAll(byClass.getOrDefault(each.name(), Map.of()));
+            figures.putAll(own);
+            Route route = new Route(name, limits(each, figures, label, section.at()));
+            Route same = table.add(new RouteKey(each.name(), method == null ? "" : method, rest, prefix,
+                    tenant), route);
+            if (same != null) {
+                violated(section.at(), label, Rule.SAME_MATCH, "it matches the same as route " + same.name(),
+                        "another path, tenant or method");
+                return;
+            }
+            if (first && all.putIfAbsent(name, route) != null) {
+                violated(at(section, Key.NAME, Key.PATH), label, Rule.SAME_NAME,
+                        "there is another of this name", "another name");
+                return;
+            }
+            first = false;
+        }
+    }
+
     private List<String> pattern(Section section, String path, String label) {
         if (path == null) {
             return null;
@@ -277,7 +336,7 @@
         Integer index = tenants.get(tenant);
         if (index == null) {
             violated(at(section, Key.TENANT, Key.TENANT), label, Rule.UNKNOWN_TENANT, "there is no tenant '"
-                    + tenant + "'", near(tenant, tenants.keySet()));
+                    + tenant + "'", Near.of(tenant, tenants.keySet()));
         }
         return index;
     }
@@ -308,7 +367,7 @@
             Key key = Key.of(text);
             if (key == null || !key.isLimit() && section.kind() != Kind.ROUTE) {
                 violated(entry.at(), section.name(), Rule.UNKNOWN_KEY, "unknown key '" + text + "'",
-                        near(text, keys(section.kind())));
+                        Near.of(text, keys(section.kind())));
             } else if (key.isLimit()) {
                 Double value = figure(key, entry, section.name());
                 if (value != null) {
@@ -368,8 +427,13 @@
                     : "a number and B or KiB, as \"16KiB\",");
             return null;
         }
-        double bytes = Double.parseDouble(m.group(1)) * (m.group(2).equals("B") ? 1 : 1_024);
-        if (bytes > MOST_BODY) {
+        double bytes = Double.parseDouble(m.group(1)) * switch (m.group(2)) {
+            case "B" -> 1.0;
+            case "KiB" -> 1_024.0;
+            case "MiB" -> 1_048_576.0;
+            default -> 1_073_741_824.0;
+        };
+        if (bytes > MOST_BODY && !alone) {
             violated(entry.at(), route, Rule.OUT_OF_RANGE, key.text()
                     + " is over what a node takes", "\"64KiB\"");
             return null;
@@ -421,7 +485,7 @@
         Limits limits = new Limits(attemptUs, totalUs, attempts, (long) value(own, Key.BACKOFF, 0),
                 value(own, Key.JITTER, 0), (long) value(own, Key.COPY_AFTER, 0),
                 (int) value(own, Key.COPY_PERCENTILE, 0), value(own, Key.RETRY_BUDGET, 0),
-                (int) value(own, Key.CONCURRENCY, 0), (int) value(own, Key.MAX_BODY, MOST_BODY),
+                (int) value(own, Key.CONCURRENCY, 0), (long) value(own, Key.MAX_BODY, alone ? Long.MAX_VALUE : MOST_BODY),
                 (long) value(own, Key.RETRY_AFTER, -1));
         if (!checking) {
             return limits;
@@ -530,38 +594,4 @@
     static String ms(long us) {
         return us % 1_000 == 0 ? us / 1_000 + "ms" : us + "us";
     }
-
-    // ---------------------------------------------------------------- suggestions
-
-    private static String near(String text, Iterable<String> known) {
-        String best = "";
-        int least = NEAR + 1;
-        for (String each : known) {
-            int distance = distance(text, each);
-            if (distance < least) {
-                least = distance;
-                best = each;
-            }
-        }
-        return best.isEmpty() ? "one of " + String.join(", ", known) : "'" + best + "'";
-    }
-
-    /** Edits between two words (Wagner and Fischer, 1974). */
-    private static int distance(String a, String b) {
-        int[] row = new int[b.length() + 1];
-        for (int j = 0; j <= b.length(); j++) {
-            row[j] = j;
-        }
-        for (int i = 1; i <= a.length(); i++) {
-            int diagonal = row[0];
-            row[0] = i;
-            for (int j = 1; j <= b.length(); j++) {
-                int edit = Math.min(Math.min(row[j], row[j - 1]) + 1,
-                        diagonal + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1));
-                diagonal = row[j];
-                row[j] = edit;
-            }
-        }
-        return row[b.length()];
-    }
 }
--- a/src/main/java/vetchpost/routes/RouteTable.java
+++ b/src/main/java/vetchpost/routes/RouteTable.java
@@ -34,10 +34,16 @@
 
     private final Map<String, Node> classes = new HashMap<>();
     private final Map<String, Route> otherwise;
+    private final boolean alone;
 
-    /** No routes so far but one for each class, by its name. */
-    RouteTable(Map<String, Route> otherwise) {
+    /**
+     * No routes so far but one for each class, by its name.
+     *
+     * @param alone whether paths are the application's own; else they begin with their class
+     */
+    RouteTable(Map<String, Route> otherwise, boolean alone) {
         this.otherwise = otherwise;
+        this.alone = alone;
     }
 
     /** Adds a route; the one that has the same key already is returned instead, if there is one. */
@@ -71,11 +77,18 @@
      * @return null if the path can be read in two ways
      */
     public Route find(String cls, String method, String target, int tenant) {
+        Node root = classes.get(cls);
+        if (alone && root == null) {
+            return otherwise.get(cls); // No route has a path, so that no path has to be read.
+        }
         List<String> path = RouteKey.path(target);
+        if (path != null && alone) {
+            Route found = find(root, path, 0, method, tenant);
+            return found == null ? otherwise.get(cls) : found;
+        }
         if (path == null || path.isEmpty() || !path.get(0).equals(cls)) {
             return null;
         }
-        Node root = classes.get(cls);
         Route found = root == null ? null : find(root, path, 1, method, tenant);
         return found == null ? otherwise.get(cls) : found;
     }
--- /dev/null
+++ b/src/main/java/vetchpost/routes/SectionReader.java
@@ -0,0 +1,229 @@
+package vetchpost.routes;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+import vetchpost.routes.Section.Entry;
+import vetchpost.routes.Violation.Rule;
+
+/**
+ * Reads the values of one table of an operator's file, and says of each that can't be used where it stands,
+ * what is wrong with it and what would pass. A value that is not there, or can't be used, is the one given
+ * for that case; whoever reads looks at the violations before using any.
+ */
+public final class SectionReader {
+    private static final Pattern DURATION = Pattern.compile("(\\d{1,9}(?:\\.\\d{1,6})?)(us|ms|s|m|h)");
+    private static final Pattern SIZE = Pattern.compile("(\\d{1,9})(B|KiB|MiB|GiB)");
+    private static final int KIB = 1_024;
+
+    private final Section section;
+    private final String label;
+    private final List<Violation> violations;
+
+    /**
+     * Reads that table.
+     *
+     * @param label what messages call it
+     * @param violations where what is wrong is added
+     */
+    public SectionReader(Section section, String label, List<Violation> violations) {
+        this.section = section;
+        this.label = label;
+        this.violations = violations;
+    }
+
+    /** Whether the table says this. */
+    public boolean has(String key) {
+        return section.entries().containsKey(key);
+    }
+
+    /** Where a key stands, or the table if it does not. */
+    public Position at(String key) {
+        Entry entry = section.entries().get(key);
+        return entry == null ? section.at() : entry.at();
+    }
+
+    /** Adds a violation at the key, or at the table if the key is not there. */
+    public void violated(String key, Rule rule, String what, String fits) {
+        violations.add(new Violation(at(key), label, rule, what, fits));
+    }
+
+    /** Names all keys that are none of these. */
+    public void knows(List<String> keys) {
+        section.entries().forEach((key, entry) -> {
+            if (!keys.contains(key)) {
+                violations.add(new Violation(entry.at(), label, Rule.UNKNOWN_KEY, "unknown key '" + key + "'",
+                        Near.of(key, keys)));
+            }
+        });
+    }
+
+    /** A value of any kind, or null. */
+    public Object value(String key) {
+        Entry entry = section.entries().get(key);
+        return entry == null ? null : entry.value();
+    }
+
+    private static String shown(Object value) {
+        return value instanceof String ? "\"" + value + "\"" : String.valueOf(value);
+    }
+
+    private void wrong(String key, String what, String fits) {
+        violated(key, Rule.WRONG_UNIT, key + " = " + shown(value(key)) + " is " + what, key + " = " + fits);
+    }
+
+    /** A text that is not empty. */
+    public String text(String key, String otherwise) {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        wrong(key, "no text", "\"...\"");
+        return otherwise;
+    }
+
+    /** One of these words. */
+    public String word(String key, String otherwise, List<String> words) {
+        String text = text(key, otherwise);
+        if (words.contains(text)) {
+            return text;
+        }
+        violated(key, Rule.OUT_OF_RANGE, key + " = \"" + text + "\"", Near.of(text, words));
+        return otherwise;
+    }
+
+    /** A list of texts. */
+    public List<String> texts(String key, List<String> otherwise) {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        List<String> texts = new ArrayList<>();
+        if (value instanceof List<?> list) {
+            for (Object each : list) {
+                if (each instanceof String text && !text.isEmpty()) {
+                    texts.add(text);
+                }
+            }
+            if (texts.size() == list.size()) {
+                return texts;
+            }
+        }
+        wrong(key, "no list of texts", "[\"...\"]");
+        return otherwise;
+    }
+
+    /** True or false. */
+    public boolean flag(String key, boolean otherwise) {
+        Object value = value(key);
+        if (value == null || value instanceof Boolean) {
+            return value == null ? otherwise : (Boolean) value;
+        }
+        wrong(key, "neither true nor false", Boolean.toString(otherwise));
+        return otherwise;
+    }
+
+    /** A whole number within these bounds. */
+    public int whole(String key, int otherwise, int least, int most) {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (!(value instanceof Long number)) {
+            wrong(key, "no whole number", Integer.toString(otherwise));
+            return otherwise;
+        }
+        if (number < least || number > most) {
+            violated(key, Rule.OUT_OF_RANGE, key + " = " + number, "from " + least + " to " + most);
+            return otherwise;
+        }
+        return number.intValue();
+    }
+
+    /** A number within these bounds. */
+    public double number(String key, double otherwise, double least, double most) {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (!(value instanceof Number number)) {
+            wrong(key, "no number", Double.toString(otherwise));
+            return otherwise;
+        }
+        if (!(number.doubleValue() >= least && number.doubleValue() <= most)) {
+            violated(key, Rule.OUT_OF_RANGE, key + " = " + number, "from " + least + " to " + most);
+            return otherwise;
+        }
+        return number.doubleValue();
+    }
+
+    /** A length of time in microseconds, within these bounds. */
+    public long duration(String key, long otherwiseUs, long leastUs, long mostUs) {
+        Object value = value(key);
+        if (value == null) {
+            return otherwiseUs;
+        }
+        Matcher m = value instanceof String text ? DURATION.matcher(text) : null;
+        if (m == null || !m.matches()) {
+            wrong(key, "no length of time", value instanceof Long ? "\"" + value + "ms\"" : "\"250ms\"");
+            return otherwiseUs;
+        }
+        double us = Double.parseDouble(m.group(1)) * switch (m.group(2)) {
+            case "us" -> 1;
+            case "ms" -> 1e3;
+            case "s" -> 1e6;
+            case "m" -> 60e6;
+            default -> 3_600e6;
+        };
+        if (us < leastUs || us > mostUs) {
+            violated(key, Rule.OUT_OF_RANGE, key + " = " + shown(value), "from " + time(leastUs) + " to "
+                    + time(mostUs));
+            return otherwiseUs;
+        }
+        return (long) us;
+    }
+
+    /** A size in bytes, within these bounds. */
+    public long size(String key, long otherwise, long least, long most) {
+        Object value = value(key);
+        if (value == null) {
+            return otherwise;
+        }
+        Matcher m = value instanceof String text ? SIZE.matcher(text) : null;
+        if (m == null || !m.matches()) {
+            wrong(key, "no size", value instanceof Long ? "\"" + value + "B\"" : "\"64KiB\"");
+            return otherwise;
+        }
+        long bytes = Long.parseLong(m.group(1)) * switch (m.group(2)) {
+            case "B" -> 1L;
+            case "KiB" -> KIB;
+            case "MiB" -> KIB * KIB;
+            default -> (long) KIB * KIB * KIB;
+        };
+        if (bytes < least || bytes > most) {
+            violated(key, Rule.OUT_OF_RANGE, key + " = " + shown(value), "from " + size(least) + " to "
+                    + size(most));
+            return otherwise;
+        }
+        return bytes;
+    }
+
+    /** A length of time as a file would have it. */
+    public static String time(long us) {
+        return us != 0 && us % 3_600_000_000L == 0 ? us / 3_600_000_000L + "h"
+                : us % 1_000_000 == 0 ? us / 1_000_000 + "s" : us % 1_000 == 0 ? us / 1_000 + "ms" : us + "us";
+    }
+
+    /** A size as a file would have it. */
+    public static String size(long bytes) {
+        long gib = (long) KIB * KIB * KIB;
+        return bytes != 0 && bytes % gib == 0 ? bytes / gib + "GiB"
+                : bytes != 0 && bytes % (KIB * KIB) == 0 ? bytes / (KIB * KIB) + "MiB"
+                : bytes != 0 && bytes % KIB == 0 ? bytes / KIB + "KiB" : bytes + "B";
+    }
+}
--- a/src/main/java/vetchpost/routes/Violation.java
+++ b/src/main/java/vetchpost/routes/Violation.java
@@ -12,8 +12,8 @@
     /** The rules that a file can break. */
     public enum Rule {
         SYNTAX("the file is TOML"),
-        UNKNOWN_TABLE("tables are [defaults], [class.NAME], [[route]], [fleet], [state], [handover] and "
-                + "[admission]"),
+        UNKNOWN_TABLE("tables are [node], [classes.NAME], [tenants.NAME], [pool], [[source]], [checks], "
+                + "[defaults], [class.NAME], [[route]], [fleet], [state], [handover] and [admission]"),
         UNKNOWN_KEY("keys are known"),
         WRONG_UNIT("figures have their unit"),
         OUT_OF_RANGE("figures make sense"),
@@ -29,7 +29,8 @@
         PAST_WHOLE("an attempt ends within its request"),
         SCHEDULE("all attempts fit into the time in all"),
         NOT_ALLOWED("the platform's settings allow it"),
-        STARVES("no route and no tenant is starved");
+        STARVES("no route and no tenant is starved"),
+        INCOMPLETE("a node has an address, servers and a class for each request");
 
         private final String words;
 
--- a/src/main/java/vetchpost/routes/file/RouteFile.java
+++ b/src/main/java/vetchpost/routes/file/RouteFile.java
@@ -28,6 +28,13 @@
 public record RouteFile(List<Section> sections, List<Violation> violations) {
     /** 10,000 routes take about 2 MiB. */
     private static final long MOST_BYTES = 32L << 20;
+    private static final Map<String, Kind> TABLES = Map.of("defaults", Kind.DEFAULTS, "fleet", Kind.FLEET,
+            "state", Kind.STATE, "handover", Kind.HANDOVER, "admission", Kind.ADMISSION, "node", Kind.NODE,
+            "pool", Kind.POOL, "checks", Kind.CHECKS);
+    /** Tables of tables, each with a name. */
+    private static final Map<String, Kind> NAMED = Map.of("class", Kind.CLASS, "classes", Kind.REQUESTS,
+            "tenants", Kind.TENANT);
+    private static final Map<String, Kind> LISTED = Map.of("route", Kind.ROUTE, "source", Kind.SOURCE);
 
     /**
      * Reads a file.
@@ -53,21 +60,14 @@
             List<String> path = List.of(key);
             Position at = position(file, toml.inputPositionOf(path));
             Object value = toml.get(path);
-            if (key.equals("defaults") && value instanceof TomlTable table) {
-                sections.add(section(file, Kind.DEFAULTS, "", at, table));
-            } else if (key.equals("fleet") && value instanceof TomlTable table) {
-                sections.add(section(file, Kind.FLEET, "fleet", at, table));
-            } else if (key.equals("state") && value instanceof TomlTable table) {
-                sections.add(section(file, Kind.STATE, "state", at, table));
-            } else if (key.equals("handover") && value instanceof TomlTable table) {
-                sections.add(section(file, Kind.HANDOVER, "handover", at, table));
-            } else if (key.equals("admission") && value instanceof TomlTable table) {
-                sections.add(section(file, Kind.ADMISSION, "admission", at, table));
-            } else if (key.equals("class") && value instanceof TomlTable table) {
-                classes(file, table, sections);
-            } else if (key.equals("route") && value instanceof TomlArray array && areTables(array)) {
+            Kind kind = TABLES.get(key);
+            if (kind != null && value instanceof TomlTable table) {
+                sections.add(section(file, kind, kind == Kind.DEFAULTS ? "" : key, at, table));
+            } else if (NAMED.containsKey(key) && value instanceof TomlTable table) {
+                named(file, key, table, sections);
+            } else if (LISTED.containsKey(key) && value instanceof TomlArray array && areTables(array)) {
                 for (int i = 0; i < array.size(); i++) {
-                    sections.add(section(file, Kind.ROUTE, "", position(file, array.inputPositionOf(i)),
+                    sections.add(section(file, LISTED.get(key), "", position(file, array.inputPositionOf(i)),
                             array.getTable(i)));
                 }
             } else {
@@ -86,13 +86,13 @@
         return true;
     }
 
-    private static void classes(String file, TomlTable table, List<Section> sections) {
+    private static void named(String file, String key, TomlTable table, List<Section> sections) {
         for (String name : table.keySet()) {
             Position at = position(file, table.inputPositionOf(List.of(name)));
             if (table.get(List.of(name)) instanceof TomlTable one) {
-                sections.add(section(file, Kind.CLASS, name, at, one));
+                sections.add(section(file, NAMED.get(key), name, at, one));
             } else {
-                sections.add(new Section(Kind.UNKNOWN, "class." + name, at, Map.of()));
+                sections.add(new Section(Kind.UNKNOWN, key + "." + name, at, Map.of()));
             }
         }
     }
--- /dev/null
+++ b/src/main/java/vetchpost/sources/Composer.java
@@ -0,0 +1,111 @@
+package vetchpost.sources;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import vetchpost.core.ServerList;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.sources.Membership.Member;
+
+/**
+ * One list of servers out of what sources say, checks find and servers say of themselves. Gone comes before
+ * draining, and draining before ready, whoever says it; {@code docs/servers.md} has the table. Nothing in it
+ * keeps a clock or a socket.
+ */
+public final class Composer {
+    /** For so long a server's own word that it drains holds, unless its address or process changes. */
+    public static final long LEASE_US = 60_000_000;
+
+    private final Membership membership;
+    private final CheckPlan checks;
+    private final long unixOriginMs;
+    private final long originUs;
+    /** What was told last of each. */
+    private final Map<String, ServerList.Target> told = new LinkedHashMap<>();
+    /** By their own word: until when. */
+    private final Map<String, Long> polite = new HashMap<>();
+    /** When those came back that checks, or their own word, had taken out. */
+    private final Map<String, Long> backUs = new HashMap<>();
+    private Set<String> out = new HashSet<>();
+
+    /**
+     * Nothing told so far.
+     *
+     * @param checks null where there are none
+     * @param unixMs Unix time at {@code nowUs}
+     */
+    public Composer(Membership membership, CheckPlan checks, long unixMs, long nowUs) {
+        this.membership = membership;
+        this.checks = checks;
+        unixOriginMs = unixMs;
+        originUs = nowUs;
+    }
+
+    /** A server says of itself that it takes no new requests. */
+    public void drains(String id, long nowUs) {
+        if (told.containsKey(id)) {
+            polite.put(id, nowUs + LEASE_US);
+        }
+    }
+
+    /** What has changed since it was asked last, to be told to a node; empty if nothing has. */
+    public List<ServerList.Target> changes(long nowUs) {
+        Map<String, Member> members = membership.settle(nowUs);
+        polite.values().removeIf(until -> until <= nowUs);
+        Set<String> outNow = new HashSet<>(polite.keySet());
+        if (checks != null) {
+            checks.fleet(members.keySet(), nowUs);
+            outNow.addAll(checks.out());
+        }
+        for (String id : out) {
+            if (!outNow.contains(id)) {
+                backUs.put(id, nowUs);
+            }
+        }
+        out = outNow;
+        backUs.keySet().retainAll(members.keySet());
+        polite.keySet().retainAll(members.keySet());
+        List<ServerList.Target> changes = new ArrayList<>();
+        for (String id : List.copyOf(told.keySet())) {
+            if (!members.containsKey(id)) {
+                ServerList.Target gone = told.remove(id);
+                changes.add(new ServerList.Target(id, gone.address(), gone.zone(), gone.cell(),
+                        ServerState.GONE, gone.weight(), gone.bootMs()));
+            }
+        }
+        for (Member member : members.values()) {
+            ServerList.Target target = target(member);
+            if (!target.equals(told.put(target.id(), target))) {
+                changes.add(target);
+            }
+        }
+        return changes;
+    }
+
+    private ServerList.Target target(Member member) {
+        boolean drains = member.draining() || out.contains(member.id());
+        long since = Math.max(member.sinceUs(), backUs.getOrDefault(member.id(), 0L));
+        return new ServerList.Target(member.id(), member.address(), member.zone(), 0,
+                drains ? ServerState.DRAINING : ServerState.READY, member.weight(),
+                since == 0 ? 0 : unixOriginMs + (since - originUs) / 1_000);
+    }
+
+    /** All that is told, as a whole list. */
+    public ServerList whole() {
+        return new ServerList(0, true, List.copyOf(told.values()));
+    }
+
+    /** When to ask again though nothing has happened; the largest number for never. */
+    public long nextUs(long nowUs) {
+        long next = membership.nextUs(nowUs);
+        for (long until : polite.values()) {
+            next = Math.min(next, until);
+        }
+        return next;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/standalone/ServerWords.java
@@ -0,0 +1,104 @@
+package vetchpost.standalone;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+import vetchpost.sources.Named;
+import vetchpost.sources.Named.Word;
+
+/** Reads how files name servers: an address, or a table with more about it. */
+public final class ServerWords {
+    private static final List<String> KEYS = List.of("address", "addresses", "id", "weight", "zone", "state");
+    private static final double MOST_WEIGHT = 1e6;
+    private static final int MOST_ADDRESSES = 16;
+    private static final int MOST_ID = 256;
+
+    private ServerWords() { }
+
+    /**
+     * Reads one server: a text, or a map of the keys address or addresses, id, weight, zone and state.
+     *
+     * @throws IllegalArgumentException with a short reason if it names none
+     */
+    public static Named named(Object value) {
+        if (value instanceof String text) {
+            return Named.of(address(text));
+        }
+        if (!(value instanceof Map<?, ?> table)) {
+            throw new IllegalArgumentException("a server is a text or a table, not " + value);
+        }
+        for (Object key : table.keySet()) {
+            if (!KEYS.contains(key)) {
+                throw new IllegalArgumentException("unknown key '" + key + "' of a server; there are "
+                        + String.join(", ", KEYS));
+            }
+        }
+        List<InetSocketAddress> addresses = new ArrayList<>();
+        if (table.get("addresses") instanceof List<?> list) {
+            list.forEach(each -> addresses.add(address(text("addresses", each))));
+        }
+        if (table.containsKey("address")) {
+            addresses.add(0, address(text("address", table.get("address"))));
+        }
+        if (addresses.isEmpty() || addresses.size() > MOST_ADDRESSES) {
+            throw new IllegalArgumentException("a server has from 1 to " + MOST_ADDRESSES + " addresses");
+        }
+        String id = table.containsKey("id") ? text("id", table.get("id")) : "";
+        if (id.length() > MOST_ID) {
+            throw new IllegalArgumentException("an id has up to " + MOST_ID + " characters");
+        }
+        Object weight = table.containsKey("weight") ? table.get("weight") : Double.valueOf(1);
+        if (!(weight instanceof Number number) || !(number.doubleValue() > 0)
+                || number.doubleValue() > MOST_WEIGHT) {
+            throw new IllegalArgumentException("weight = " + weight + " is no number from 0 on to "
+                    + MOST_WEIGHT);
+        }
+        return new Named(id, List.copyOf(addresses), state(table.get("state")), number.doubleValue(),
+                table.containsKey("zone") ? text("zone", table.get("zone")) : "");
+    }
+
+    private static Word state(Object value) {
+        if (value == null) {
+            return Word.READY;
+        }
+        for (Word word : Word.values()) {
+            if (word.name().toLowerCase(Locale.ROOT).equals(value)) {
+                return word;
+            }
+        }
+        throw new IllegalArgumentException("state is ready, draining or gone, not " + value);
+    }
+
+    private static String text(String key, Object value) {
+        if (value instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new IllegalArgumentException(key + " is no text");
+    }
+
+    /**
+     * A numeric address and a port; an IPv4 address written as IPv6 is the IPv4 one.
+     *
+     * @throws IllegalArgumentException with a short reason if it is none
+     */
+    public static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        String host = colon < 0 ? "" : text.substring(0, colon);
+        String port = text.substring(colon + 1);
+        if (!host.matches("\\d{1,3}(\\.\\d{1,3}){3}|\\[[0-9a-fA-F:.]+\\]") || !port.matches("\\d{1,5}")
+                || Integer.parseInt(port) > 65_535) {
+            throw new IllegalArgumentException("\"" + text + "\" is no numeric address and port");
+        }
+        try {
+            // Numeric, so nothing is looked up.
+            return new InetSocketAddress(InetAddress.getByName(host), Integer.parseInt(port));
+        } catch (UnknownHostException e) {
+            throw new IllegalArgumentException("\"" + text + "\" is no numeric address and port", e);
+        }
+    }
+}
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -39,7 +39,8 @@
     @ArchTest
     static final ArchRule TIME_COMES_FROM_THE_LOOP = noClasses()
             .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.net..",
-                    "vetchpost.handover..", "vetchpost.recovery..", "vetchpost.state..")
+                    "vetchpost.handover..", "vetchpost.recovery..", "vetchpost.state..",
+                    "vetchpost.web..", "vetchpost.conductor..")
             .should().callMethod(System.class, "nanoTime")
             .orShould().callMethod(System.class, "currentTimeMillis");
 
@@ -47,7 +48,7 @@
     @ArchTest
     static final ArchRule SOCKETS_COME_FROM_THE_NETWORK = noClasses()
             .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.node..",
-                    "vetchpost.handover..", "vetchpost.recovery..")
+                    "vetchpost.handover..", "vetchpost.recovery..", "vetchpost.web..", "vetchpost.conductor..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty.channel.nio..",
                     "io.netty.channel.socket.nio..");
 
@@ -104,6 +105,23 @@
             .should().dependOnClassesThat().resideInAnyPackage("vetchpost.recovery..", "vetchpost.node..",
                     "vetchpost.http..", "vetchpost.discovery..", "vetchpost.config..", "vetchpost.daemon..");
 
+    /** Who is in the fleet, who is checked and what a file comes to is decided without a clock or a socket. */
+    @ArchTest
+    static final ArchRule SOURCES_DECIDE_WITHOUT_INPUT_OR_OUTPUT = classes()
+            .that().resideInAnyPackage("vetchpost.sources", "vetchpost.standalone")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("java.lang..", "java.util",
+                    "java.util.function", "java.util.regex", "java.util.stream", "java.net",
+                    "vetchpost.sources", "vetchpost.standalone", "vetchpost.core..", "vetchpost.decision..",
+                    "vetchpost.routes");
+
+    /** The platform's node loads nothing of what runs a node without a platform. */
+    @ArchTest
+    static final ArchRule THE_PLATFORMS_NODE_DOES_NOT_KNOW_THE_OTHER = noClasses()
+            .that().resideInAnyPackage("vetchpost.node..", "vetchpost.core..", "vetchpost.http..",
+                    "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..", "vetchpost.net..")
+            .should().dependOnClassesThat().resideInAnyPackage("vetchpost.web..", "vetchpost.sources..",
+                    "vetchpost.standalone..", "vetchpost.conductor..");
+
     /** A node that nothing is kept of loads nothing of this, but the name of an interface. */
     @ArchTest
     static final ArchRule A_NODE_DOES_NOT_KNOW_WHAT_GOES_ALONG_WITH_IT = noClasses()
