Serve any web client and server by one file: serve FILE, check FILE, init

web speaks HTTP/1.1 as a gateway: bodies of any size both ways by back-pressure, any method and status, HEAD, 204, 304, HTTP/1.0, Expect, hop-by-hop fields, Via, Forwarded; conductor asks files and names, has servers checked and tells the node. A reload takes other classes (a new core beside the old one until that is empty), sources, limits and another address.

--- /dev/null
+++ b/src/main/java/vetchpost/conductor/Conductor.java
@@ -0,0 +1,290 @@
+package vetchpost.conductor;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import vetchpost.core.Answer;
+import vetchpost.core.ServerList;
+import vetchpost.core.Witness;
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.net.Network;
+import vetchpost.sources.CheckPlan;
+import vetchpost.sources.Composer;
+import vetchpost.sources.Declared;
+import vetchpost.sources.Membership;
+import vetchpost.sources.Named;
+import vetchpost.standalone.Standalone;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/**
+ * Keeps a node's list of servers: asks the sources, has servers checked, hears what real requests tell, and
+ * tells the node what has changed. All of it is on the node's loop but the reading of files.
+ */
+public final class Conductor implements Witness, AutoCloseable {
+    private static final Logger LOG = System.getLogger(Conductor.class.getName());
+    /** Changes are told no more often than this: a file may be replaced, and checks end, in between. */
+    private static final long GATHER_US = 10_000;
+    /** Checks that may be under way at once: they are counted against no limit of sockets. */
+    private static final int MOST_CHECKS = 32;
+    private static final int MOST_LOGGED = 20;
+
+    private final EventLoop loop;
+    private final Network network;
+    private final Membership membership;
+    private final CheckPlan checks;
+    private final Composer composer;
+    private final long originNs;
+    private final Map<Declared, AutoCloseable> watches = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+    private Standalone settings;
+    private ScheduledExecutorService files;
+    private Consumer<ServerList> node;
+    private ScheduledFuture<?> next;
+    private long nextUs = Long.MAX_VALUE;
+    private int checking;
+    private boolean closed;
+
+    /**
+     * Knows the servers that the file itself names, and asks nobody yet. On the loop.
+     *
+     * @param unixMs Unix time in milliseconds
+     */
+    public Conductor(Standalone settings, EventLoop loop, Network network, long seed, long unixMs) {
+        this.settings = settings;
+        this.loop = loop;
+        this.network = network;
+        originNs = loop.ticker().nanoTime();
+        membership = new Membership(settings.sources(), settings.merge());
+        checks = settings.checks() == null ? null : new CheckPlan(settings.checks(), seed, 0);
+        composer = new Composer(membership, checks, unixMs, 0);
+        own();
+        composer.changes(nowUs()).forEach(this::remember);
+    }
+
+    private long nowUs() {
+        return (loop.ticker().nanoTime() - originNs) / 1_000;
+    }
+
+    private void own() {
+        for (int i = 0; i < settings.sources().size(); i++) {
+            if (settings.sources().get(i).kind() == Declared.Kind.ITSELF) {
+                membership.said(i, settings.sources().get(i).own(), nowUs());
+            }
+        }
+    }
+
+    /** The servers that are known now. */
+    public ServerList known() {
+        return composer.whole();
+    }
+
+    /** Asks the sources from now on, and tells changes there. */
+    public void begin(Consumer<ServerList> to) {
+        node = to;
+        watch();
+        settle();
+    }
+
+    /** Has other sources be asked from now on. Rules of merging and checks stay as at the start. */
+    public void renew(Standalone fresh) {
+        settings = fresh;
+        membership.renew(fresh.sources());
+        own();
+        watch();
+        settle();
+    }
+
+    /** Watches the sources that are declared, and no others. */
+    private void watch() {
+        List<Declared> declared = settings.sources();
+        for (Declared old : List.copyOf(watches.keySet())) {
+            if (!declared.contains(old)) {
+                close(watches.remove(old));
+            }
+        }
+        for (Declared source : declared) {
+            if (source.kind() != Declared.Kind.ITSELF && !watches.containsKey(source)) {
+                Listener listener = listener(source);
+                watches.put(source, source.kind() == Declared.Kind.FILE
+                        ? new FileWatch(source, files(), loop, listener)
+                        : new NameWatch(source, loop, network, listener));
+            }
+        }
+    }
+
+    private ScheduledExecutorService files() {
+        if (files == null) {
+            files = Executors.newSingleThreadScheduledExecutor(task -> {
+                Thread thread = new Thread(task, "sources");
+                thread.setDaemon(true);
+                return thread;
+            });
+        }
+        return files;
+    }
+
+    /** Its place may change with a reload, so it is looked up each time. */
+    private Listener listener(Declared source) {
+        return new Listener() {
+            @Override
+            public void said(List<Named> servers) {
+                int index = settings.sources().indexOf(source);
+                if (index >= 0 && !closed) {
+                    String trouble = membership.trouble(index);
+                    membership.said(index, servers, nowUs());
+                    if (servers.isEmpty() ? trouble.isEmpty() : !trouble.isEmpty()) {
+                        LOG.log(Level.INFO, "source {0} {1}", source.name(), servers.isEmpty()
+                                ? "names no server; what it said last holds for a while" : "is well again");
+                    }
+                    soon();
+                }
+            }
+
+            @Override
+            public void silent(String why) {
+                int index = settings.sources().indexOf(source);
+                if (index >= 0 && !closed) {
+                    if (membership.trouble(index).isEmpty()) {
+                        LOG.log(Level.WARNING, "source {0} can''t be used, and what it said last holds for a"
+                                + " while: {1}", source.name(), why);
+                    }
+                    membership.silent(index, why, nowUs());
+                    soon();
+                }
+            }
+        };
+    }
+
+    @Override
+    public void ended(String serverId, Result result, Answer answer, boolean stalled, long unusedUs) {
+        String drain = settings.drainHeader();
+        if (answer != null && !drain.isEmpty() && answer.fields() != null && answer.fields().get(drain) != null) {
+            composer.drains(serverId, nowUs());
+            soon();
+        }
+        if (checks == null) {
+            return;
+        }
+        switch (result) {
+            case OK -> checks.served(serverId, nowUs());
+            case ERROR, RESET, CONNECT_FAILED -> {
+                checks.failed(serverId, nowUs());
+                soon();
+            }
+            case TIMEOUT -> {
+                if (!stalled) {
+                    checks.failed(serverId, nowUs());
+                    soon();
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** Settles in a moment, with all that comes until then. */
+    private void soon() {
+        schedule(nowUs() + GATHER_US);
+    }
+
+    private void schedule(long atUs) {
+        if (closed || node == null || atUs >= nextUs) {
+            return;
+        }
+        if (next != null) {
+            next.cancel(false);
+        }
+        nextUs = atUs;
+        next = loop.schedule(() -> {
+            nextUs = Long.MAX_VALUE;
+            settle();
+        }, Math.max(0, atUs - nowUs()), TimeUnit.MICROSECONDS);
+    }
+
+    private void settle() {
+        if (closed) {
+            return;
+        }
+        long now = nowUs();
+        List<ServerList.Target> changes = composer.changes(now);
+        if (!changes.isEmpty()) {
+            log(changes);
+            changes.forEach(this::remember);
+            node.accept(new ServerList(0, false, changes));
+        }
+        check(now);
+        long at = composer.nextUs(now);
+        if (checks != null && checking < MOST_CHECKS) {
+            at = Math.min(at, checks.nextUs(now));
+        }
+        if (at < Long.MAX_VALUE) {
+            schedule(Math.max(at, now + GATHER_US));
+        }
+    }
+
+    private void remember(ServerList.Target target) {
+        if (target.state() == ServerState.GONE) {
+            addresses.remove(target.id());
+        } else {
+            addresses.put(target.id(), target.address());
+        }
+    }
+
+    private static void log(List<ServerList.Target> changes) {
+        List<String> words = new ArrayList<>();
+        for (ServerList.Target change : changes.subList(0, Math.min(MOST_LOGGED, changes.size()))) {
+            words.add(change.id() + " " + change.state().name().toLowerCase(Locale.ROOT));
+        }
+        LOG.log(Level.INFO, "servers: {0}{1}", String.join(", ", words), changes.size() > MOST_LOGGED
+                ? " and " + (changes.size() - MOST_LOGGED) + " more" : "");
+    }
+
+    private void check(long now) {
+        if (checks == null) {
+            return;
+        }
+        for (String id : checks.due(now, MOST_CHECKS - checking)) {
+            checking++;
+            HealthCheck.start(loop, network, addresses.get(id), settings.checks(), settings.limits().mark(),
+                    finding -> {
+                        checking--;
+                        checks.checked(id, finding, nowUs());
+                        soon();
+                    });
+        }
+    }
+
+    private static void close(AutoCloseable watch) {
+        try {
+            watch.close();
+        } catch (Exception e) {
+            // It is not asked any more, whether it could be ended or not.
+            LOG.log(Level.DEBUG, "a source could not be closed", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        if (next != null) {
+            next.cancel(false);
+        }
+        watches.values().forEach(Conductor::close);
+        watches.clear();
+        if (files != null) {
+            files.shutdownNow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/conductor/FileWatch.java
@@ -0,0 +1,142 @@
+package vetchpost.conductor;
+
+import java.io.IOException;
+import java.nio.charset.CharacterCodingException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+
+import vetchpost.sources.Declared;
+import vetchpost.sources.Named;
+import vetchpost.standalone.ServerWords;
+import com.google.gson.Gson;
+import com.google.gson.JsonParseException;
+import com.google.gson.reflect.TypeToken;
+import org.tomlj.Toml;
+import org.tomlj.TomlArray;
+import org.tomlj.TomlParseResult;
+import org.tomlj.TomlTable;
+
+/**
+ * Watches a file of servers. It is looked at once in a while, on a thread of its own, and read when it looks
+ * other than before: a file that is replaced many times in between is read once. What is half written, can't be
+ * read or is no list of servers is said to be so, and looked at again the next time.
+ */
+final class FileWatch implements AutoCloseable {
+    private static final long MOST_BYTES = 4L << 20;
+
+    private final Path path;
+    private final Executor loop;
+    private final Listener listener;
+    private final ScheduledFuture<?> looking;
+    private Stamp seen;
+
+    /** How a file looks from outside. */
+    private record Stamp(long size, long modifiedMs, Object key) {
+        static Stamp of(Path path) throws IOException {
+            BasicFileAttributes look = Files.readAttributes(path, BasicFileAttributes.class);
+            return new Stamp(look.size(), look.lastModifiedTime().toMillis(), look.fileKey());
+        }
+    }
+
+    /**
+     * Begins at once.
+     *
+     * @param thread where files are read
+     * @param loop where the listener is told
+     */
+    FileWatch(Declared source, ScheduledExecutorService thread, Executor loop, Listener listener) {
+        path = Path.of(source.where());
+        this.loop = loop;
+        this.listener = listener;
+        looking = thread.scheduleWithFixedDelay(this::look, 0, source.everyUs(), TimeUnit.MICROSECONDS);
+    }
+
+    private void look() {
+        try {
+            Stamp now = Stamp.of(path);
+            if (now.equals(seen)) {
+                return;
+            }
+            if (now.size() > MOST_BYTES) {
+                throw new IllegalArgumentException("over " + (MOST_BYTES >> 20) + " MiB");
+            }
+            List<Named> servers = parse(path.toString(), Files.readString(path));
+            if (!Stamp.of(path).equals(now)) {
+                return; // It is being written just now.
+            }
+            seen = now;
+            loop.execute(() -> listener.said(servers));
+        } catch (CharacterCodingException e) {
+            fail("it is no UTF-8");
+        } catch (IOException e) {
+            fail("it can't be read: " + e.getMessage());
+        } catch (RuntimeException e) {
+            fail(e.getMessage());
+        }
+    }
+
+    private void fail(String why) {
+        seen = null;
+        loop.execute(() -> listener.silent(why));
+    }
+
+    /**
+     * Reads a list of servers in JSON, or in TOML where the file's name ends so.
+     *
+     * @throws IllegalArgumentException with a short reason if it is none
+     */
+    static List<Named> parse(String name, String text) {
+        List<?> entries = name.endsWith(".toml") ? toml(text) : json(text);
+        List<Named> servers = new ArrayList<>(entries.size());
+        for (Object each : entries) {
+            servers.add(ServerWords.named(each));
+        }
+        return servers;
+    }
+
+    private static List<?> json(String text) {
+        Object value;
+        try {
+            value = new Gson().fromJson(text, TypeToken.get(Object.class));
+        } catch (JsonParseException e) {
+            throw new IllegalArgumentException("it is no JSON: " + e.getMessage(), e);
+        }
+        if (value instanceof Map<?, ?> table && table.get("servers") instanceof List<?> list) {
+            return list;
+        }
+        if (value instanceof List<?> list) {
+            return list;
+        }
+        throw new IllegalArgumentException("it holds neither a list of servers nor one called servers");
+    }
+
+    private static List<?> toml(String text) {
+        TomlParseResult toml = Toml.parse(text);
+        if (toml.hasErrors()) {
+            throw new IllegalArgumentException("it is no TOML: " + toml.errors().get(0));
+        }
+        TomlArray array = toml.get(List.of("servers")) instanceof TomlArray list ? list : null;
+        if (array == null) {
+            throw new IllegalArgumentException("it holds no list called servers");
+        }
+        List<Object> entries = new ArrayList<>();
+        for (int i = 0; i < array.size(); i++) {
+            Object each = array.get(i);
+            entries.add(each instanceof TomlTable table ? table.toMap() : each);
+        }
+        return entries;
+    }
+
+    @Override
+    public void close() {
+        looking.cancel(false);
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/conductor/HealthCheck.java
@@ -0,0 +1,124 @@
+package vetchpost.conductor;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+import vetchpost.net.Network;
+import vetchpost.sources.CheckPlan.Finding;
+import vetchpost.sources.CheckRules;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.ReferenceCountUtil;
+import io.netty.util.concurrent.ScheduledFuture;
+
+/** One check of one server: a connection, and where a path is named, a request and the head of its answer. */
+final class HealthCheck extends ChannelInboundHandlerAdapter {
+    private static final int MOST_LINE = 4_096;
+    private static final int MOST_HEADERS = 16_384;
+
+    private final CheckRules rules;
+    private final String mark;
+    private final Consumer<Finding> report;
+    private Channel channel;
+    private ScheduledFuture<?> late;
+    private boolean over;
+
+    private HealthCheck(CheckRules rules, String mark, Consumer<Finding> report) {
+        this.rules = rules;
+        this.mark = mark;
+        this.report = report;
+    }
+
+    /**
+     * Checks a server, and reports once, within the rules' time.
+     *
+     * @param mark the field that every answer of this application has; empty for none
+     */
+    static void start(EventLoop loop, Network network, InetSocketAddress address, CheckRules rules, String mark,
+            Consumer<Finding> report) {
+        HealthCheck check = new HealthCheck(rules, mark, report);
+        check.late = loop.schedule(() -> check.end(Finding.ILL), rules.withinUs(), TimeUnit.MICROSECONDS);
+        Channel fresh;
+        try {
+            fresh = network.connecting();
+        } catch (ChannelException e) {
+            // Out of descriptors: that is no fault of the server's, but nothing good is known of it either.
+            check.end(Finding.WELL);
+            return;
+        }
+        check.channel = fresh;
+        new Bootstrap().group(loop).channelFactory(() -> fresh).disableResolver()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, rules.withinUs() / 1_000))
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel to) {
+                        to.pipeline().addLast(new HttpClientCodec(MOST_LINE, MOST_HEADERS, MOST_LINE), check);
+                    }
+                }).connect(address).addListener(done -> check.connected(done.isSuccess()));
+    }
+
+    private void connected(boolean is) {
+        if (!is || rules.path().isEmpty()) {
+            end(is ? Finding.WELL : Finding.ILL);
+            return;
+        }
+        DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
+                rules.path());
+        request.headers().set(HttpHeaderNames.HOST, rules.host());
+        request.headers().set(HttpHeaderNames.USER_AGENT, "vetchpost-check");
+        request.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+        channel.writeAndFlush(request);
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        try {
+            if (message instanceof HttpResponse response
+                    && (response.decoderResult().isFailure()
+                    || response.status().codeClass() != HttpStatusClass.INFORMATIONAL)) {
+                int status = response.status().code();
+                end(response.decoderResult().isFailure() ? Finding.ILL
+                        : !mark.isEmpty() && !response.headers().contains(mark) ? Finding.STRANGER
+                        : status >= rules.least() && status <= rules.most() ? Finding.WELL : Finding.ILL);
+            }
+        } finally {
+            ReferenceCountUtil.release(message);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        end(Finding.ILL);
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        end(Finding.ILL);
+    }
+
+    private void end(Finding finding) {
+        if (!over) {
+            over = true;
+            late.cancel(false);
+            if (channel != null) {
+                channel.close();
+            }
+            report.accept(finding);
+        }
+    }
+}
--- a/src/main/java/vetchpost/config/Config.java
+++ b/src/main/java/vetchpost/config/Config.java
@@ -23,6 +23,7 @@
 /**
  * What a node is told at its start, checked.
  *
+ * @param discovery where the list of servers is told; null where it comes from elsewhere
  * @param sockets descriptors that the process may hold
  * @param connIdleUs servers close connections that have stood idle for so long
  */
--- a/src/main/java/vetchpost/daemon/CheckCommand.java
+++ b/src/main/java/vetchpost/daemon/CheckCommand.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
+import java.util.stream.Collectors;
 
 import vetchpost.admission.AdmissionProver;
 import vetchpost.config.Config;
@@ -17,6 +18,10 @@
 import vetchpost.routes.Prover;
 import vetchpost.routes.Violation;
 import vetchpost.routes.file.RouteFile;
+import vetchpost.sources.Declared;
+import vetchpost.sources.Named;
+import vetchpost.standalone.Standalone;
+import vetchpost.standalone.StandaloneProver;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
@@ -40,7 +45,7 @@
 
     @Option(names = "--config", paramLabel = "FILE",
             description = {"The platform's configuration, for its classes "
-        + "and limits.", "LB_CONFIG if not said."})
+        + "and limits.", "For a file without [node], LB_CONFIG if not said."})
     private Path config;
 
     @Option(names = "--explain", paramLabel = "ROUTE",
@@ -49,26 +54,48 @@
 
     @Override
     public Integer call() {
-        Settings settings = settings();
         RouteFile read;
         try {
             read = RouteFile.read(file);
         } catch (IOException e) {
             throw bad("can't read the file: " + e);
         }
-        Proof proof = read.violations().isEmpty() ? Prover.prove(read.sections(), settings) : null;
-        List<Violation> violations = new ArrayList<>(proof == null ? read.violations() : proof.violations());
+        List<Violation> violations = new ArrayList<>(read.violations());
+        boolean alone = config == null && StandaloneProver.isStandalone(read.sections());
+        Standalone node = null;
+        if (alone) {
+            StandaloneProver.Proof made = StandaloneProver.prove(read.sections());
+            violations.addAll(made.violations());
+            node = made.standalone();
+        }
+        if (!violations.isEmpty()) {
+            return refused(violations);
+        }
+        Settings settings = alone ? node.settings() : settings();
+        Proof proof = alone ? Prover.proveAlone(read.sections(), settings)
+                : Prover.prove(read.sections(), settings);
+        violations.addAll(proof.violations());
         violations.addAll(RecoveryProver.prove(read.sections()).violations());
         violations.addAll(AdmissionProver.prove(read.sections(), settings).violations());
         PrintWriter out = spec.commandLine().getOut();
         if (!violations.isEmpty()) {
-            violations.forEach(out::println);
-            out.println(violations.size() + (violations.size() == 1 ? " violation" : " violations"));
-            out.flush();
-            return REFUSED;
+            return refused(violations);
         }
         if (explain == null) {
             out.println(file + " holds: " + proof.routes().size() + " routes, classes among them");
+            if (alone) {
+                out.println("It makes a node by itself: serve " + file + " listens on "
+                        + Named.text(node.listen()) + ", with servers by " + node.sources().stream()
+                        .map(s -> s.kind() == Declared.Kind.ITSELF ? "the file (" + s.own().size() + ")"
+                        : s.name()).collect(Collectors.joining(", ")) + ".");
+                if (System.getenv("LB_CONFIG") != null) {
+                    out.println("LB_CONFIG is set and not looked at by that; serve --routes " + file
+                            + " goes by it instead, and passes over the file's own tables.");
+                }
+            } else if (read.sections().stream().anyMatch(StandaloneProver::isOwn)) {
+                out.println("[node], [classes], [tenants], [pool], [[source]] and [checks] are passed over here:"
+                        + " the platform's configuration says that.");
+            }
         } else {
             if (!proof.routes().containsKey(explain)) {
                 throw bad("there is no route '" + explain + "'; there are " + String.join(", ",
@@ -80,6 +107,14 @@
         return 0;
     }
 
+    private int refused(List<Violation> violations) {
+        PrintWriter out = spec.commandLine().getOut();
+        violations.forEach(out::println);
+        out.println(violations.size() + (violations.size() == 1 ? " violation" : " violations"));
+        out.flush();
+        return REFUSED;
+    }
+
     private Settings settings() {
         Map<String, String> environment = config == null ? System.getenv()
                 : Map.of("LB_CONFIG",
@@ -87,8 +122,8 @@
         try {
             return Config.read(environment).settings();
         } catch (IllegalArgumentException e) {
-            throw bad("classes and limits come from the platform's configuration (--config or LB_CONFIG): "
-                    + e.getMessage());
+            throw bad("the file has no table [node], so classes and limits come from the platform's"
+                    + " configuration (--config or LB_CONFIG): " + e.getMessage());
         }
     }
 
--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -13,8 +13,9 @@
             "'rehearse' goes through its work once, for the archive of classes that the build makes."},
         commandListHeading = "Commands:%n")
 final class Commands implements Runnable {
-    private final CommandLine line = new CommandLine(this).addSubcommand(new ServeCommand())
-            .addSubcommand(new CheckCommand()).addSubcommand(new StateCommand())
+    private final CommandLine line = new CommandLine(this).addSubcommand(new InitCommand())
+            .addSubcommand(new CheckCommand()).addSubcommand(new ServeCommand())
+            .addSubcommand(new StateCommand())
             .addSubcommand(new SimulateCommand()).addSubcommand(new CrowdCommand())
             .addSubcommand(new TryCommand());
 
--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -19,14 +19,14 @@
 public final class Main {
     private static final Logger LOG = System.getLogger(Main.class.getName());
 
-    private static final String UNCHANGED = "the configuration stays as it was: {0}";
+    static final String UNCHANGED = "the configuration stays as it was: {0}";
     /** A bad configuration. */
-    private static final int BAD_CONFIG = 2;
+    static final int BAD_CONFIG = 2;
     /** Past the longest wait for an answer: then there is nothing left worth waiting for. */
     private static final long STOP_WITHIN_MS = 3_650;
 
     /** Enough for all classes to be loaded; more make the first answers quicker but the node come later. */
-    private static final int REHEARSED = 100;
+    static final int REHEARSED = 100;
     private static final String EXAMPLE = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":1024},
              "known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":"127.0.0.1:1","az":"a",
@@ -145,14 +145,14 @@
         group.next().execute(() -> node.start(group, REHEARSED, group::shutdownGracefully));
     }
 
-    private static void exit(String reason, int code) {
+    static void exit(String reason, int code) {
         System.err.println("vetchpost: " + reason);
         // No orderly stop: there is nothing to answer, and the hook would wait for it.
         Runtime.getRuntime().halt(code);
     }
 
     /** Runs as the shutdown hook of SIGTERM; halting from it is what makes the exit code 0. */
-    private static void stop(Node node, EventLoop loop) {
+    static void stop(Node node, EventLoop loop) {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> node.stop(done::countDown));
         try {
--- /dev/null
+++ b/src/main/java/vetchpost/daemon/StandaloneMain.java
@@ -0,0 +1,63 @@
+package vetchpost.daemon;
+
+import java.lang.System.Logger;
+import java.lang.System.Logger.Level;
+import java.nio.file.Path;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/** The process of a node that one file makes: started, told to read it again, and ended in order. */
+final class StandaloneMain {
+    private static final Logger LOG = System.getLogger(StandaloneMain.class.getName());
+
+    private StandaloneMain() { }
+
+    static void serve(Path file) {
+        StandaloneNode.Loaded loaded;
+        try {
+            loaded = StandaloneNode.load(file);
+        } catch (IllegalArgumentException e) {
+            Main.exit(e.getMessage(), Main.BAD_CONFIG);
+            return;
+        }
+        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoop loop = group.next();
+        loop.execute(() -> start(loaded, file, group, loop));
+    }
+
+    private static void start(StandaloneNode.Loaded loaded, Path file, EventLoopGroup group, EventLoop loop) {
+        StandaloneNode node;
+        try {
+            node = new StandaloneNode(loaded, group, loop);
+        } catch (IllegalArgumentException e) {
+            Main.exit("bad configuration: " + e.getMessage(), Main.BAD_CONFIG);
+            return;
+        }
+        // On the signal's own thread: many routes take longer to read than the loop may stand.
+        Hangup.handle(() -> reload(node, file, loop));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> Main.stop(node.node(), loop), "stop"));
+        node.start(Main.REHEARSED, () -> { }).addListener(done -> {
+            if (!done.isSuccess()) {
+                Main.exit("can't listen on " + loaded.node().listen() + ": " + done.cause().getMessage(), 1);
+            }
+        });
+    }
+
+    private static synchronized void reload(StandaloneNode node, Path file, EventLoop loop) {
+        try {
+            StandaloneNode.Loaded fresh = StandaloneNode.load(file);
+            loop.execute(() -> {
+                try {
+                    node.reload(fresh);
+                } catch (RuntimeException e) {
+                    LOG.log(Level.WARNING, Main.UNCHANGED, e.getMessage());
+                }
+            });
+        } catch (RuntimeException e) {
+            LOG.log(Level.WARNING, Main.UNCHANGED, e.getMessage());
+        }
+    }
+}
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -31,8 +31,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.TooLongHttpHeaderException;
-import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
 
 /** One client's connection: its requests one by one, an answer to each, and what it may cost meanwhile. */
@@ -188,7 +186,7 @@
         heldCost = cost;
         try {
             if (http.decoderResult().isFailure()) {
-                reject(malformed(http.decoderResult().cause()));
+                reject(BadRequest.malformed(http.decoderResult().cause()));
                 return;
             }
             boolean keepAlive = HttpUtil.isKeepAlive(http);
@@ -237,16 +235,6 @@
         return response;
     }
 
-    private static BadRequest malformed(Throwable cause) {
-        if (cause instanceof TooLongHttpLineException) {
-            return new BadRequest(HttpResponseStatus.REQUEST_URI_TOO_LONG, "request line too long");
-        }
-        if (cause instanceof TooLongHttpHeaderException) {
-            return new BadRequest(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "headers too large");
-        }
-        return new BadRequest(HttpResponseStatus.BAD_REQUEST, "malformed HTTP");
-    }
-
     /** Nothing that follows on the connection can be understood; what is held is answered first. */
     private void reject(BadRequest e) {
         deaf = true;
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -115,6 +115,28 @@
         return binding;
     }
 
+    /**
+     * Binds another address and gives up the one before; connections that are open stay.
+     *
+     * @return tells whether it could be had; if not, the one before stays
+     */
+    public ChannelFuture moveTo(EventLoopGroup group, SocketAddress address) {
+        Channel before = listening;
+        ScheduledFuture<?> sweeping = sweeper;
+        ChannelFuture binding = listen(group, address);
+        binding.addListener(done -> {
+            if (done.isSuccess()) {
+                sweeping.cancel(false);
+                before.close();
+            } else {
+                sweeper.cancel(false);
+                sweeper = sweeping;
+                listening = before;
+            }
+        });
+        return binding;
+    }
+
     private void sweep() {
         long now = nanos();
         for (Set<ClientLine> some : List.of(silent, connections)) {
--- a/src/main/java/vetchpost/http/HeaderFields.java
+++ b/src/main/java/vetchpost/http/HeaderFields.java
@@ -15,7 +15,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** The headers of HTTP as the core's fields, and the way back. */
-record HeaderFields(HttpHeaders headers) implements Fields {
+public record HeaderFields(HttpHeaders headers) implements Fields {
     @Override
     public String get(String name) {
         return headers.get(name);
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -3,6 +3,8 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
@@ -14,6 +16,7 @@
 import vetchpost.core.ServerList;
 import vetchpost.core.Stall;
 import vetchpost.core.Subset;
+import vetchpost.core.Witness;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.discovery.Discovery;
 import vetchpost.http.ClientServer;
@@ -41,20 +44,27 @@
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 1_500;
 
-    private final Config config;
+    private Config config;
     private final EventLoop loop;
     private final Network network;
     private final Sockets sockets;
-    private final ServerPool pool;
+    private ServerPool pool;
     private final Discovery discovery;
     private final ClientServer clients;
     private final Stall stall;
-    private final Dispatcher dispatcher;
+    private Dispatcher dispatcher;
+    private final Seams seams;
+    private Witness witness;
+    private final List<Retired> retired = new ArrayList<>();
     private final LoopClock clock;
+    private final Fronts fronts;
     private Companion companion;
     private boolean rehearsing;
     private boolean closed;
 
+    /** A core that takes nothing new, and ends once all that it holds is answered. */
+    private record Retired(Dispatcher dispatcher, ServerPool pool) { }
+
     /**
      * What a node still has in hand; all of it is nothing once the node has stopped.
      *
@@ -71,22 +81,87 @@
      * @throws IllegalArgumentException if the module rejects the settings
      */
     public Node(Config config, EventLoop loop, Network network, long unixMs, Seams seams) {
+        this(config, loop, network, unixMs, seams, null);
+    }
+
+    /** The same, speaking otherwise than the platform has it; null for that. */
+    public Node(Config config, EventLoop loop, Network network, long unixMs, Seams seams, Fronts fronts) {
+        this.fronts = fronts;
         this.config = config;
         this.loop = loop;
         this.network = network;
-        Settings settings = config.settings();
         clock = new LoopClock(loop, unixMs);
         stall = new Stall(clock);
         sockets = new Sockets(config.sockets());
-        pool = new ServerPool(loop, network, sockets, settings.connectTimeoutUs, config.connIdleUs());
         discovery = new Discovery(loop, network, config.discovery(), config.known().revision(),
                 Discovery.SILENT_MS, this);
+        this.seams = seams;
+        core();
+        clients = new ClientServer(loop, network, sockets, config.settings(),
+                (request, reply, waitedUs) -> dispatcher.take(seams.request(request), seams.reply(reply),
+                        waitedUs), fronts == null ? null : fronts.clients());
+    }
+
+    /** The core and its way to servers, by the settings as they are now. */
+    private void core() {
+        Settings settings = config.settings();
+        pool = new ServerPool(loop, network, sockets, settings.connectTimeoutUs, config.connIdleUs(),
+                fronts == null ? null : fronts.servers());
         dispatcher = new Dispatcher(clock, stall, seams.servers(pool), settings.zones, this::subscribe,
                 this::askWholeList, settings.drainGraceUs / 2,
                 actions -> seams.module(settings, config.seed(), actions));
-        clients = new ClientServer(loop, network, sockets, settings,
-                (request, reply, waitedUs) -> dispatcher.take(seams.request(request), seams.reply(reply),
-                        waitedUs));
+    }
+
+    /**
+     * Takes up other classes and other settings of the module while it runs: requests from now on are the
+     * affair of a new core, which begins with what the old one knows; the old one ends once all that it holds
+     * is answered. Routes and the door are to be set anew.
+     *
+     * @throws IllegalArgumentException if the module rejects the settings; then nothing changes
+     */
+    public void renew(Config fresh) {
+        Config before = config;
+        Dispatcher old = dispatcher;
+        ServerPool oldPool = pool;
+        config = fresh;
+        try {
+            core();
+        } catch (RuntimeException e) {
+            config = before;
+            pool.close();
+            pool = oldPool;
+            dispatcher = old;
+            throw e;
+        }
+        retired.add(new Retired(old, oldPool));
+        dispatcher.witness(witness);
+        List<ServerList.Target> servers = old.known();
+        dispatcher.onKnownList(new ServerList(0, true, servers));
+        dispatcher.recall(old.knowledge(servers.stream().map(ServerList.Target::id).toList()));
+        loop.schedule(this::forgetRetired, DONE_CHECK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void forgetRetired() {
+        retired.removeIf(r -> {
+            if (r.dispatcher.held() == 0) {
+                r.dispatcher.close();
+                r.pool.close();
+                return true;
+            }
+            return false;
+        });
+        if (!retired.isEmpty() && !closed) {
+            loop.schedule(this::forgetRetired, 10 * DONE_CHECK_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /**
+     * Has clients connect there from now on; those that are connected stay.
+     *
+     * @return tells whether the address could be had; if not, the one before stays
+     */
+    public ChannelFuture listenAt(EventLoopGroup group, InetSocketAddress address) {
+        return clients.moveTo(group, address);
     }
 
     /** On the system's sockets and clock. */
@@ -108,7 +183,7 @@
                 stall.watch();
                 dispatcher.onKnownList(companion == null ? config.known()
                         : companion.begin(config.known(), clock.nowUs()));
-                if (!config.settings().listOnRequest) {
+                if (!config.settings().listOnRequest && config.discovery() != null) {
                     discovery.subscribe();
                 }
                 String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
@@ -126,7 +201,7 @@
                 if (rehearsed == 0) {
                     ready.run();
                 } else {
-                    new Rehearsal(loop, network, config, (InetSocketAddress) binding.channel().localAddress(),
+                    new Rehearsal(loop, network, config, fronts, (InetSocketAddress) binding.channel().localAddress(),
                             token, rehearsed, REHEARSE_MS, ready).run();
                 }
             }
@@ -154,6 +229,12 @@
         return dispatcher.admission();
     }
 
+    /** Has this see how attempts end, besides the module; null for nobody. */
+    public void witness(Witness other) {
+        witness = other;
+        dispatcher.witness(other);
+    }
+
     /** Has this go along with the node's life; before it starts. */
     public void companion(Companion with) {
         companion = with;
@@ -185,6 +266,10 @@
         stall.close();
         discovery.close();
         pool.close();
+        retired.forEach(r -> {
+            r.dispatcher.close();
+            r.pool.close();
+        });
     }
 
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
@@ -220,17 +305,18 @@
 
     /** What it has in hand just now. */
     public InHand inHand() {
-        return new InHand(dispatcher.held(), clients.bytesInHand(), sockets.open());
+        int held = dispatcher.held() + retired.stream().mapToInt(r -> r.dispatcher.held()).sum();
+        return new InHand(held, clients.bytesInHand(), sockets.open());
     }
 
     private void subscribe() {
-        if (!rehearsing && !closed) {
+        if (!rehearsing && !closed && config.discovery() != null) {
             discovery.subscribe();
         }
     }
 
     private void askWholeList() {
-        if (!rehearsing && !closed) {
+        if (!rehearsing && !closed && config.discovery() != null) {
             discovery.askWhole();
         }
     }
@@ -240,6 +326,7 @@
     @Override
     public void onList(ServerList list) {
         dispatcher.onList(list);
+        retired.forEach(r -> r.dispatcher.onList(list));
         if (companion != null) {
             companion.listed(list);
         }
--- a/src/main/java/vetchpost/node/Rehearsal.java
+++ b/src/main/java/vetchpost/node/Rehearsal.java
@@ -43,7 +43,8 @@
     private boolean over;
 
     /** Sends so many requests, or fewer if that takes too long, and then runs {@code done}. */
-    Rehearsal(EventLoop loop, Network network, Config real, InetSocketAddress self, String token,
+    Rehearsal(EventLoop loop, Network network, Config real, Fronts fronts,
+            InetSocketAddress self, String token,
             int requests, long mostMs, Runnable done) {
         this.loop = loop;
         this.token = token;
@@ -54,7 +55,7 @@
         ServerList itself = new ServerList(0, true, List.of(
                 new ServerList.Target("self", self, zone, 0, ServerState.READY, 1, 0)));
         config = new Config(self, self, 1, SOCKETS, real.connIdleUs(), real.settings(), itself);
-        node = new Node(config, loop, network, System.currentTimeMillis(), Seams.NONE);
+        node = new Node(config, loop, network, System.currentTimeMillis(), Seams.NONE, fronts);
     }
 
     void run() {
--- /dev/null
+++ b/src/main/java/vetchpost/web/WebFront.java
@@ -0,0 +1,181 @@
+package vetchpost.web;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.util.function.LongSupplier;
+
+import vetchpost.core.BodySource;
+import vetchpost.core.ClientRequest;
+import vetchpost.core.ServerTransport.Sending;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.http.BadRequest;
+import vetchpost.http.ClientLine;
+import vetchpost.http.ClientServer;
+import vetchpost.http.Exchange;
+import vetchpost.http.HeaderFields;
+import vetchpost.standalone.Classifier;
+import vetchpost.standalone.WebLimits;
+import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+
+/** Both sides of a node that speaks with the open web: how clients' connections and exchanges are made. */
+public final class WebFront implements ClientLine.Opener, Exchange.Maker {
+    private static final String REMAINING = "X-Remaining-Ms";
+    private static final int MOST_DIGITS = 9;
+
+    private Settings settings;
+    private Classifier classifier;
+    private WebLimits limits;
+    private final LongSupplier unixMs;
+    private long numbered;
+
+    /**
+     * For requests of these classes.
+     *
+     * @param unixMs tells the time, Unix time in milliseconds
+     */
+    public WebFront(Settings settings, Classifier classifier, WebLimits limits, LongSupplier unixMs) {
+        this.settings = settings;
+        this.classifier = classifier;
+        this.limits = limits;
+        this.unixMs = unixMs;
+    }
+
+    /** Has these hold for requests from now on. */
+    public void settle(Settings classes, Classifier other, WebLimits to) {
+        settings = classes;
+        classifier = other;
+        limits = to;
+    }
+
+    WebLimits limits() {
+        return limits;
+    }
+
+    long unixMs() {
+        return unixMs.getAsLong();
+    }
+
+    @Override
+    public void open(ClientServer server, ChannelPipeline pipeline) {
+        WebConnection.open(this, server, pipeline);
+    }
+
+    @Override
+    public Exchange of(Sending sending) {
+        return new WebExchange(this, sending);
+    }
+
+    /** How long a request of a class may take, in microseconds. */
+    long deadlineUs(int classIndex) {
+        return settings.classes.get(classIndex).deadlineUs();
+    }
+
+    /** The class of a checked head. */
+    int classOf(HttpRequest head) throws BadRequest {
+        int index = classifier.classOf(head.method().name(), head.uri(), head.headers()::get);
+        if (index < 0) {
+            throw new BadRequest(HttpResponseStatus.NOT_FOUND, "no class of requests");
+        }
+        return index;
+    }
+
+    /**
+     * Makes the core's request of a checked head and its body.
+     *
+     * @param from who asks
+     * @param length of the body; the largest number if it is not said
+     */
+    ClientRequest request(HttpRequest head, int classIndex, SocketAddress from, byte[] body, BodySource rest,
+            long length) {
+        HttpHeaders headers = head.headers();
+        String host = headers.get(HttpHeaderNames.HOST);
+        int tenant = classifier.tenantOf(host, headers::get);
+        long remainingUs = rest != null ? limits.uploadUs() : deadlineUs(classIndex);
+        long saidMs = whole(headers.get(REMAINING));
+        if (saidMs > 0) {
+            remainingUs = Math.min(remainingUs, 1_000 * saidMs);
+        }
+        boolean repeated = "1".equals(headers.get("X-Resent"));
+        RequestCheck.dropHopByHop(headers);
+        headers.remove(HttpHeaderNames.EXPECT).remove(REMAINING).remove("X-Rehearsal");
+        if (rest == null) {
+            headers.remove(HttpHeaderNames.CONTENT_LENGTH);
+            if (body.length > 0 || wantsLength(head)) {
+                headers.set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            }
+        }
+        forward(headers, head.protocolVersion(), from, host);
+        return new ClientRequest(++numbered, classIndex, tenant, remainingUs, 0, repeated,
+                head.method().name(), head.uri(), new HeaderFields(headers), body, rest, length);
+    }
+
+    /** Methods whose requests have bodies tell a length even where there is none (RFC 9110, section 8.6). */
+    private static boolean wantsLength(HttpRequest head) {
+        return switch (head.method().name()) {
+            case "POST", "PUT", "PATCH" -> true;
+            default -> false;
+        };
+    }
+
+    private void forward(HttpHeaders headers, HttpVersion version, SocketAddress from, String host) {
+        headers.add(HttpHeaderNames.VIA, version.majorVersion() + "." + version.minorVersion() + " "
+                + limits.name());
+        String address = from instanceof InetSocketAddress inet && inet.getAddress() != null
+                ? plain(inet.getAddress()) : "unknown";
+        if (limits.forwarded().isStandard()) {
+            String node = address.indexOf(':') >= 0 ? "\"[" + address + "]\"" : address;
+            String one = "for=" + node + (host == null ? "" : ";host=\"" + host + "\"") + ";proto=http";
+            append(headers, "Forwarded", one);
+        } else if (!limits.trusted()) {
+            headers.remove("Forwarded");
+        }
+        if (limits.forwarded().isCustom()) {
+            append(headers, "X-Forwarded-For", address);
+            instead(headers, "X-Forwarded-Proto", "http");
+            instead(headers, "X-Forwarded-Host", host);
+        } else if (!limits.trusted()) {
+            headers.remove("X-Forwarded-For").remove("X-Forwarded-Proto").remove("X-Forwarded-Host");
+        }
+    }
+
+    private static String plain(InetAddress address) {
+        String text = address.getHostAddress();
+        int scope = text.indexOf('%');
+        return scope < 0 ? text : text.substring(0, scope);
+    }
+
+    /** Behind what the client says, if that is believed; else in its place. */
+    private void append(HttpHeaders headers, String name, String value) {
+        String said = limits.trusted() ? String.join(", ", headers.getAll(name)) : "";
+        headers.set(name, said.isEmpty() ? value : said + ", " + value);
+    }
+
+    private void instead(HttpHeaders headers, String name, String value) {
+        if (limits.trusted() && headers.contains(name)) {
+            return;
+        }
+        if (value == null) {
+            headers.remove(name);
+        } else {
+            headers.set(name, value);
+        }
+    }
+
+    private static long whole(String text) {
+        if (text == null || text.isEmpty() || text.length() > MOST_DIGITS) {
+            return -1;
+        }
+        for (int i = 0; i < text.length(); i++) {
+            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
+                return -1;
+            }
+        }
+        return Long.parseLong(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/web/WebReply.java
@@ -0,0 +1,203 @@
+package vetchpost.web;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Date;
+
+import vetchpost.core.Answer;
+import vetchpost.core.BodySink;
+import vetchpost.core.ClientReply;
+import vetchpost.core.Failure;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.DateFormatter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpResponse;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+
+/** The one answer to a request of the open web; of a body that is not held, the way of its bytes too. */
+final class WebReply implements ClientReply, BodySink {
+    private final WebConnection connection;
+    private final WebFront front;
+    private final boolean head;
+    private final boolean old;
+    private Runnable whenGone = () -> { };
+    private boolean answered;
+    private boolean ended;
+    private Answer streaming;
+
+    /**
+     * Not answered yet.
+     *
+     * @param head whether only the head of an answer is wanted
+     * @param old whether the client speaks HTTP/1.0, which knows no chunks
+     */
+    WebReply(WebConnection connection, WebFront front, boolean head, boolean old) {
+        this.connection = connection;
+        this.front = front;
+        this.head = head;
+        this.old = old;
+    }
+
+    @Override
+    public long connection() {
+        return connection.number();
+    }
+
+    @Override
+    public void whenGone(Runnable action) {
+        whenGone = action;
+    }
+
+    /** Whether its answer has begun. */
+    boolean isAnswered() {
+        return answered;
+    }
+
+    /** The client has left. */
+    void gone() {
+        if (ended) {
+            return;
+        }
+        answered = true;
+        ended = true;
+        whenGone.run();
+        if (streaming != null) {
+            streaming.rest().abandon();
+        }
+    }
+
+    /** The client has read so much that more can be written. */
+    void writable() {
+        if (streaming != null && !ended) {
+            streaming.rest().more();
+        }
+    }
+
+    @Override
+    public void served(Answer answer) {
+        if (answered) {
+            if (answer.rest() != null) {
+                answer.rest().abandon();
+            }
+            return;
+        }
+        answered = true;
+        HttpResponseStatus status = HttpResponseStatus.valueOf(answer.status());
+        if (answer.rest() == null) {
+            FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                    Unpooled.wrappedBuffer(answer.body()));
+            fields(response, answer);
+            // To HEAD, and of 304, a length is that of the body that is left out (RFC 9110, section 8.6).
+            if (!head && answer.status() != HttpResponseStatus.NOT_MODIFIED.code()) {
+                response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.body().length);
+            }
+            ended = true;
+            connection.answer(response, head);
+            return;
+        }
+        streaming = answer;
+        HttpResponse response = new DefaultHttpResponse(HttpVersion.HTTP_1_1, status);
+        fields(response, answer);
+        boolean byClosing = false;
+        if (answer.length() < Long.MAX_VALUE) {
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.length());
+        } else if (old) {
+            byClosing = true;
+        } else {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
+        connection.begin(response, byClosing);
+        if (answer.body().length > 0) {
+            connection.pass(new DefaultHttpContent(Unpooled.wrappedBuffer(answer.body())));
+        }
+        answer.rest().into(this);
+    }
+
+    private void fields(HttpResponse response, Answer answer) {
+        HttpHeaders headers = response.headers();
+        if (answer.fields() != null) {
+            answer.fields().forEach(headers::add);
+        }
+        headers.add(HttpHeaderNames.VIA, "1.1 " + front.limits().name());
+        if (!headers.contains(HttpHeaderNames.DATE)) {
+            headers.set(HttpHeaderNames.DATE, DateFormatter.format(new Date(front.unixMs())));
+        }
+    }
+
+    @Override
+    public boolean write(byte[] bytes) {
+        return !ended && connection.pass(new DefaultHttpContent(Unpooled.wrappedBuffer(bytes)));
+    }
+
+    @Override
+    public void end() {
+        if (!ended) {
+            ended = true;
+            connection.endOfAnswer(LastHttpContent.EMPTY_LAST_CONTENT);
+        }
+    }
+
+    @Override
+    public void broken() {
+        if (!ended) {
+            ended = true;
+            connection.breakOff();
+        }
+    }
+
+    @Override
+    public boolean errored(Answer error) {
+        served(error);
+        return true;
+    }
+
+    @Override
+    public void refused(long retryAfterUs) {
+        FullHttpResponse response = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused, try again");
+        if (retryAfterUs > 0) {
+            // Whole seconds (RFC 9110, section 10.2.3), and never less than what was advised.
+            response.headers().set(HttpHeaderNames.RETRY_AFTER, (retryAfterUs + 999_999) / 1_000_000);
+        }
+        say(response);
+    }
+
+    @Override
+    public void failed(Failure why) {
+        say(switch (why) {
+            case DUPLICATE_ID -> plain(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
+            case GIVEN_UP -> plain(HttpResponseStatus.BAD_GATEWAY, "no server has answered");
+            case OUT_OF_TIME -> plain(HttpResponseStatus.GATEWAY_TIMEOUT, "no server has answered in time");
+            case BAD_PATH -> plain(HttpResponseStatus.BAD_REQUEST, "path can be read in two ways");
+            case TOO_LARGE -> plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+                    "body over its route's limit, or of no said length where there is one");
+            case INTERNAL -> plain(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
+        });
+    }
+
+    /** An answer of the node's own, unless there has been one. */
+    void say(FullHttpResponse response) {
+        if (answered) {
+            response.release();
+            return;
+        }
+        answered = true;
+        ended = true;
+        connection.answer(response, head);
+    }
+
+    static FullHttpResponse plain(HttpResponseStatus status, String reason) {
+        byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
+                Unpooled.wrappedBuffer(text));
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
+        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
+        return response;
+    }
+}
