--- /dev/null
+++ b/src/test/java/vetchpost/daemon/Alone.java
@@ -0,0 +1,126 @@
+package vetchpost.daemon;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+
+import vetchpost.node.Node;
+import vetchpost.testing.FakePeer;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+/** A node by one file, on a port of its own, and clients of it that write bytes as they please. */
+final class Alone implements AutoCloseable {
+    private static final int PATIENCE_MS = 30_000;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final StandaloneNode node;
+    private final Channel listening;
+
+    /** By a file of this text behind its table {@code [node]}, which says where to listen. */
+    Alone(String text) throws Exception {
+        StandaloneNode.Loaded loaded = StandaloneNode.load(file(0, text));
+        node = on(() -> new StandaloneNode(loaded, group, loop));
+        listening = on(() -> node.start(0, () -> { })).sync().channel();
+    }
+
+    /** What the file says of these servers. */
+    static String pool(FakePeer... servers) {
+        return pool("", servers);
+    }
+
+    /** The same with more keys of the pool. */
+    static String pool(String more, FakePeer... servers) {
+        return "[pool]\nservers = [" + Arrays.stream(servers).map(s -> "\"" + s.address() + "\"")
+                .collect(Collectors.joining(", ")) + "]\nconnect-timeout = \"2s\"\n" + more;
+    }
+
+    /** A text may begin with keys of the table {@code [node]}. */
+    private static Path file(int port, String text) throws IOException {
+        Path file = Files.createTempFile("alone", ".toml");
+        file.toFile().deleteOnExit();
+        return Files.writeString(file, "[node]\nlisten = \"127.0.0.1:" + port + "\"\nseed = \"1\"\n" + text);
+    }
+
+    <T> T on(Callable<T> task) throws Exception {
+        return loop.submit(task).get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+    }
+
+    void reload(int port, String text) throws Exception {
+        StandaloneNode.Loaded loaded = StandaloneNode.load(file(port, text));
+        on(() -> {
+            node.reload(loaded);
+            return null;
+        });
+    }
+
+    Node.InHand inHand() throws Exception {
+        return on(() -> node.node().inHand());
+    }
+
+    int port() {
+        return ((InetSocketAddress) listening.localAddress()).getPort();
+    }
+
+    Socket connect() throws IOException {
+        return connect(port());
+    }
+
+    static Socket connect(int port) throws IOException {
+        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.setTcpNoDelay(true);
+        return socket;
+    }
+
+    /** What comes on a connection of its own until it is closed; the request should ask for that. */
+    String all(String request) throws IOException {
+        try (Socket socket = connect()) {
+            FakePeer.write(socket, request);
+            return rest(socket);
+        }
+    }
+
+    /** All that comes until the end, or until the connection breaks, which is told by a last word. */
+    static String rest(Socket socket) throws IOException {
+        StringBuilder text = new StringBuilder();
+        InputStream in = socket.getInputStream();
+        byte[] some = new byte[8_192];
+        try {
+            for (int read = in.read(some); read >= 0; read = in.read(some)) {
+                text.append(new String(some, 0, read, StandardCharsets.ISO_8859_1));
+            }
+        } catch (java.net.SocketException e) {
+            text.append("<broken>");
+        }
+        return text.toString();
+    }
+
+    /** One answer of a known length on a connection that stays. */
+    static String answer(Socket socket) throws IOException {
+        return FakePeer.read(socket);
+    }
+
+    static String get(String path, String headers) {
+        return "GET " + path + " HTTP/1.1\r\nHost: shop.example\r\n" + headers + "\r\n";
+    }
+
+    @Override
+    public void close() {
+        loop.submit(node::close).awaitUninterruptibly(PATIENCE_MS);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
