--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -1276,7 +1276,7 @@
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(servedGapUs, MEAN_GAIN * (now - lastServedAt));
+        double gap = Math.max(servedGapUs, lastServedAt == 0 ? 0 : MEAN_GAIN * (now - lastServedAt));
         double part = server.weight / Math.max(server.weight, fleet.totalWeight);
         return (long) (server.coldPhase * gap / (part * share * Math.max(1, set.fallMultiple / 2)));
     }
--- a/src/test/java/vetchpost/decision/ColdServerTest.java
+++ b/src/test/java/vetchpost/decision/ColdServerTest.java
@@ -55,6 +55,23 @@
         assertTrue(toCold <= 2, "sent to the cold server in 0.2 s: " + toCold);
     }
 
+    /** Where all servers are cold, a node that has never sent anything waits a moment, not until they are warm. */
+    @Test
+    void theFirstRequestsOfANodeWithOnlyColdServersAreSent() {
+        for (long begins : new long[] {0, 1_700_000_000_000_000L}) {
+            Node node = new Node();
+            node.now += begins;
+            node.list(ListKind.CACHED, List.of(started("cold", node.now)));
+            node.ask(Node.SAFE);
+            long until = node.now + 5_000_000;
+            while (node.now < until && node.sentTo("cold") == 0) {
+                node.advance(100_000);
+                node.ask(Node.SAFE);
+            }
+            assertTrue(node.sentTo("cold") > 0, "nothing was sent in 5 s");
+        }
+    }
+
     @Test
     void slowStartDoesNotDependOnWhereTheClockBegins() {
         // Guards against a first gap between answers that was counted from the start of the clock.
