--- a/src/main/java/vetchpost/conductor/Conductor.java
+++ b/src/main/java/vetchpost/conductor/Conductor.java
@@ -69,7 +69,7 @@
         originNs = loop.ticker().nanoTime();
         membership = new Membership(settings.sources(), settings.merge());
         checks = settings.checks() == null ? null : new CheckPlan(settings.checks(), seed, 0);
-        composer = new Composer(membership, checks, unixMs, 0);
+        composer = new Composer(membership, checks, settings.settings().coldUs, unixMs, 0);
         own();
         composer.changes(nowUs()).forEach(this::remember);
     }
--- a/src/main/java/vetchpost/sources/Composer.java
+++ b/src/main/java/vetchpost/sources/Composer.java
@@ -31,15 +31,23 @@
     private final Map<String, Long> polite = new HashMap<>();
     /** When those came back that checks, or their own word, had taken out. */
     private final Map<String, Long> backUs = new HashMap<>();
+    /** When a server is to be taken for started, by the clock of the calls; 0 for long ago. */
+    private final Map<String, Start> starts = new HashMap<>();
+    private final long coldUs;
     private Set<String> out = new HashSet<>();
 
+    /** Since when it is there, and whether it is spared for that. */
+    private record Start(long sinceUs, boolean isSpared) { }
+
     /**
      * Nothing told so far.
      *
      * @param checks null where there are none
+     * @param coldUs for so long a server is cold that is new or back
      * @param unixMs Unix time at {@code nowUs}
      */
-    public Composer(Membership membership, CheckPlan checks, long unixMs, long nowUs) {
+    public Composer(Membership membership, CheckPlan checks, long coldUs, long unixMs, long nowUs) {
+        this.coldUs = coldUs;
         this.membership = membership;
         this.checks = checks;
         unixOriginMs = unixMs;
@@ -78,7 +86,17 @@
                         ServerState.GONE, gone.weight(), gone.bootMs()));
             }
         }
+        starts.keySet().retainAll(members.keySet());
+        long cold = starts.values().stream().filter(s -> s.isSpared() && nowUs - s.sinceUs() < coldUs).count();
         for (Member member : members.values()) {
+            long since = Math.max(member.sinceUs(), backUs.getOrDefault(member.id(), 0L));
+            Start start = starts.get(member.id());
+            if (start == null || start.sinceUs() != since) {
+                // Where most are new at once there is nobody warm to take what they are spared.
+                boolean spared = since > 0 && cold + 1 <= members.size() / 2;
+                cold += spared ? 1 : 0;
+                starts.put(member.id(), new Start(since, spared));
+            }
             ServerList.Target target = target(member);
             if (!target.equals(told.put(target.id(), target))) {
                 changes.add(target);
@@ -89,10 +107,10 @@
 
     private ServerList.Target target(Member member) {
         boolean drains = member.draining() || out.contains(member.id());
-        long since = Math.max(member.sinceUs(), backUs.getOrDefault(member.id(), 0L));
+        Start start = starts.get(member.id());
         return new ServerList.Target(member.id(), member.address(), member.zone(), 0,
                 drains ? ServerState.DRAINING : ServerState.READY, member.weight(),
-                since == 0 ? 0 : unixOriginMs + (since - originUs) / 1_000);
+                start.isSpared() ? unixOriginMs + (start.sinceUs() - originUs) / 1_000 : 0);
     }
 
     /** All that is told, as a whole list. */
--- a/src/main/java/vetchpost/sources/Membership.java
+++ b/src/main/java/vetchpost/sources/Membership.java
@@ -35,8 +35,8 @@
     private final Map<String, Long> leftOut = new HashMap<>();
     /** When those that are out went, to know who is back. */
     private final Map<String, Long> wentUs = new LinkedHashMap<>();
-    /** When those went that have gone lately because nobody names them. */
-    private final List<Long> goneUs = new ArrayList<>();
+    /** When those went that have gone lately because nobody names them; one that comes and goes counts once. */
+    private final Map<String, Long> goneUs = new HashMap<>();
     private int heldBack;
     private int flapping;
     private boolean begun;
@@ -165,10 +165,10 @@
             }
             long sinceUs = leftOut.computeIfAbsent(id, i -> nowUs);
             boolean confirmed = nowUs - sinceUs >= rules.confirmUs();
-            if (mayGo > 0 || confirmed) {
+            if (mayGo > 0 || confirmed || goneUs.containsKey(id)) {
                 if (!confirmed) {
-                    mayGo--;
-                    goneUs.add(nowUs);
+                    mayGo -= goneUs.containsKey(id) ? 0 : 1;
+                    goneUs.put(id, nowUs);
                 }
                 leave(id, nowUs);
             } else {
@@ -186,8 +186,11 @@
 
     /** How many more may go now without having been left out for long. */
     private int mayGo(long nowUs) {
-        goneUs.removeIf(at -> nowUs - at >= rules.confirmUs());
-        int before = members.size() + goneUs.size();
+        goneUs.values().removeIf(at -> nowUs - at >= rules.confirmUs());
+        int before = members.size();
+        for (String id : goneUs.keySet()) {
+            before += members.containsKey(id) ? 0 : 1;
+        }
         return Math.max(LEAST_GONE, (int) (rules.mostGone() * before)) - goneUs.size();
     }
 
--- /dev/null
+++ b/src/test/java/vetchpost/daemon/ReloadTest.java
@@ -0,0 +1,96 @@
+package vetchpost.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.concurrent.CountDownLatch;
+
+import vetchpost.testing.FakePeer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A file that is read again while requests are in hand. */
+@Timeout(60)
+class ReloadTest {
+    private static final String CLOSE = "Connection: close\r\n";
+    private final CountDownLatch go = new CountDownLatch(1);
+    private FakePeer slow;
+    private FakePeer other;
+
+    @BeforeEach
+    void open() throws Exception {
+        slow = new FakePeer((socket, request) -> {
+            go.await();
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+        });
+        other = new FakePeer(FakePeer.answer("200 OK", "", "new"));
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        slow.close();
+        other.close();
+    }
+
+    @Test
+    void classesServersAndTheAddressChangeUnderARequestInHand() throws Exception {
+        int free;
+        try (ServerSocket socket = new ServerSocket(0)) {
+            free = socket.getLocalPort();
+        }
+        try (Alone node = new Alone(Alone.pool(slow)); Socket client = node.connect()) {
+            FakePeer.write(client, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+            slow.nextRequest();
+            node.reload(free, "[classes.all]\ndeadline = \"20s\"\n" + Alone.pool(other));
+            try (Socket late = Alone.connect(free)) {
+                FakePeer.write(late, Alone.get("/b", CLOSE));
+                assertTrue(Alone.rest(late).endsWith("new"), "the new servers at the new address");
+            }
+            assertThrows(ConnectException.class, node::connect, "and nobody at the old one");
+            assertEquals(1, node.inHand().requests(), "what was in hand still is");
+            go.countDown();
+            assertTrue(Alone.answer(client).endsWith("old"), "and is answered as it began");
+            FakePeer.write(client, "POST /c HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
+            assertTrue(Alone.answer(client).endsWith("new"), "its connection goes on");
+            assertEquals(1, slow.requests.size() + 1, "the old server was sent nothing more");
+        }
+    }
+
+    @Test
+    void anAddressThatCanNotBeHadLeavesTheOldOne() throws Exception {
+        try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                Alone node = new Alone(Alone.pool(other))) {
+            node.reload(taken.getLocalPort(), "[classes.all]\n" + Alone.pool(other));
+            // The attempt to bind ends on the loop, behind what is asked there first.
+            assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
+            assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
+        }
+    }
+
+    @Test
+    void aFileThatBreaksARuleChangesNothing() throws Exception {
+        try (Alone node = new Alone(Alone.pool(other))) {
+            assertThrows(IllegalArgumentException.class, () -> node.reload(0, "[classes.all]\nrepeat = \"safe\"\n"
+                    + "methods = [\"POST\"]\n" + Alone.pool(slow)));
+            assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
+        }
+    }
+
+    @Test
+    void routesAndBoundsOfTheNewFileHoldFromThenOn() throws Exception {
+        try (Alone node = new Alone(Alone.pool(other))) {
+            String post = "POST /photos/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n" + CLOSE + "\r\nabcde";
+            assertTrue(node.all(post).endsWith("new"));
+            node.reload(0, Alone.pool(other) + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4B\"\n");
+            assertTrue(node.all(post).startsWith("HTTP/1.1 413 "));
+            assertTrue(node.all(post.replace("/photos/1", "/else")).endsWith("new"));
+        }
+    }
+}
