--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -2,6 +2,7 @@
 
 import vetchpost.simulation.SimulateCommand;
 import vetchpost.simulation.crowd.CrowdCommand;
+import vetchpost.simulation.fleet.FleetCommand;
 import vetchpost.trial.TryCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -17,6 +18,7 @@
             .addSubcommand(new CheckCommand()).addSubcommand(new ServeCommand())
             .addSubcommand(new StateCommand())
             .addSubcommand(new SimulateCommand()).addSubcommand(new CrowdCommand())
+            .addSubcommand(new FleetCommand())
             .addSubcommand(new TryCommand());
 
     private Commands() { }
--- a/src/main/java/vetchpost/simulation/crowd/CrowdClock.java
+++ b/src/main/java/vetchpost/simulation/crowd/CrowdClock.java
@@ -5,7 +5,7 @@
 import vetchpost.core.Clock;
 
 /** Virtual time: what is due runs in its order, and nothing takes any. */
-final class CrowdClock implements Clock {
+public final class CrowdClock implements Clock {
     private final PriorityQueue<Due> queue = new PriorityQueue<>();
     private long now;
     private long numbers;
@@ -33,7 +33,7 @@
     }
 
     /** Begins at this time. */
-    CrowdClock(long startUs) {
+    public CrowdClock(long startUs) {
         now = startUs;
     }
 
@@ -50,7 +50,7 @@
     }
 
     /** Runs all that is due by this time. */
-    void runUntil(long us) {
+    public void runUntil(long us) {
         while (!queue.isEmpty() && queue.peek().us <= us) {
             Due due = queue.poll();
             now = due.us;
--- a/src/main/java/vetchpost/sources/Membership.java
+++ b/src/main/java/vetchpost/sources/Membership.java
@@ -130,6 +130,11 @@
             zone = zone.isEmpty() ? named.zone() : zone;
             // A source that says that a server drains names it, too.
             ready |= named.word() != Word.GONE && from.may(May.ADD);
+            remember(from, named);
+        }
+
+        /** What counts of a word though its source does not name the server any more. */
+        void remember(Register from, Named named) {
             draining |= named.word() == Word.DRAINING && from.counts(Word.DRAINING);
             gone |= named.word() == Word.GONE && from.counts(Word.GONE);
         }
@@ -205,6 +210,16 @@
                 named.addresses().forEach(a -> byAddress.putIfAbsent(a, candidate));
             }
         }
+        for (Register register : registers) {
+            for (Named last : register.lastWords()) {
+                for (InetSocketAddress address : last.addresses()) {
+                    Candidate candidate = byAddress.get(address);
+                    if (candidate != null) {
+                        candidate.remember(register, last);
+                    }
+                }
+            }
+        }
         return byId;
     }
 
--- a/src/main/java/vetchpost/sources/Register.java
+++ b/src/main/java/vetchpost/sources/Register.java
@@ -19,6 +19,11 @@
 
     private final Declared declared;
     private final Map<String, Seen> seen = new LinkedHashMap<>();
+    /**
+     * Who was said to drain, or to have gone, when it was named last, and is not named any more. That it is left
+     * out then does not take the word back: another source may go on naming it for a while.
+     */
+    private final Map<String, Seen> lastWords = new LinkedHashMap<>();
     /** Since when it has said nothing, or that there is nothing; or -1. */
     private long poorSinceUs = -1;
     private String trouble = "";
@@ -65,11 +70,17 @@
         poorSinceUs = -1;
         trouble = "";
         if (declared.keepUs() == 0) {
+            seen.forEach((key, last) -> {
+                if (last.named().word() != Word.READY && lastWords.size() < MOST) {
+                    lastWords.put(key, new Seen(last.named(), nowUs));
+                }
+            });
             seen.clear();
         }
         passedOver = 0;
         for (Named named : servers) {
             String key = keyOf(named);
+            lastWords.remove(key);
             if (seen.size() >= MOST && !seen.containsKey(key)) {
                 passedOver++;
             } else {
@@ -89,6 +100,7 @@
 
     /** Lets go of what does not hold any more. */
     void expire(long nowUs) {
+        lastWords.values().removeIf(last -> nowUs - last.atUs() >= declared.staleUs());
         if (poorSinceUs >= 0) {
             // While it says nothing, nobody is left out either: all that it said holds, or none of it.
             if (nowUs - poorSinceUs >= declared.staleUs()) {
@@ -112,12 +124,22 @@
         return all;
     }
 
+    /** Who is not named any more, and was said to drain or to have gone when it was. */
+    List<Named> lastWords() {
+        List<Named> all = new ArrayList<>(lastWords.size());
+        lastWords.values().forEach(s -> all.add(s.named()));
+        return all;
+    }
+
     /** When something of it ends, if nothing is said before; the largest number for never. */
     long nextUs() {
+        long next = Long.MAX_VALUE;
+        for (Seen each : lastWords.values()) {
+            next = Math.min(next, each.atUs() + declared.staleUs());
+        }
         if (poorSinceUs >= 0) {
-            return seen.isEmpty() ? Long.MAX_VALUE : poorSinceUs + declared.staleUs();
+            return seen.isEmpty() ? next : Math.min(next, poorSinceUs + declared.staleUs());
         }
-        long next = Long.MAX_VALUE;
         if (declared.keepUs() > 0) {
             for (Seen each : seen.values()) {
                 next = Math.min(next, each.atUs() + declared.keepUs());
--- a/src/main/java/vetchpost/standalone/StandaloneProver.java
+++ b/src/main/java/vetchpost/standalone/StandaloneProver.java
@@ -71,6 +71,11 @@
 
     private StandaloneProver() { }
 
+    /** The keys of each table, as the pages for operators name them. */
+    static List<List<String>> keys() {
+        return List.of(NODE, REQUESTS, TENANT, POOL, SOURCE, CHECKS);
+    }
+
     /** Whether the file is meant to make a node by itself. */
     public static boolean isStandalone(List<Section> file) {
         return file.stream().anyMatch(s -> s.kind() == Kind.NODE);
--- a/src/test/java/vetchpost/daemon/CommandsTest.java
+++ b/src/test/java/vetchpost/daemon/CommandsTest.java
@@ -52,6 +52,34 @@
         return new CommandLine(new CheckCommand()).setOut(writer).setErr(writer).execute(arguments);
     }
 
+    private int run(Object command, String... arguments) {
+        PrintWriter writer = new PrintWriter(out);
+        return new CommandLine(command).setOut(writer).setErr(writer).execute(arguments);
+    }
+
+    /** What init prints is a file that check takes as it is, without any environment. */
+    @Test
+    void whatInitPrintsHolds() throws Exception {
+        assertEquals(0, run(new InitCommand(), "--listen", "127.0.0.1:0", "--server", peer.address(), "--server",
+                "[::1]:9002"));
+        Path file = Files.writeString(folder.resolve("node.toml"), out.toString());
+        assertEquals(0, run(new CheckCommand(), file.toString()));
+        assertTrue(out.toString().contains("makes a node by itself"), out.toString());
+        StandaloneNode.load(file);
+        assertEquals(2, run(new InitCommand()));
+        assertEquals(2, run(new InitCommand(), "--server", "localhost:80"));
+        assertTrue(out.toString().contains("is no numeric address and port"), out.toString());
+    }
+
+    @Test
+    void theShippedFileIsANodeByItselfAndBesideThePlatform() throws Exception {
+        assertEquals(0, run(new CheckCommand(), "deploy/vetchpost.toml"));
+        assertEquals(0, run(new CheckCommand(), "deploy/vetchpost.toml", "--explain", "cover"));
+        assertEquals(2, check("[node]\nlisten = 7\n[class.nobody]\n"), "beside it, its classes are the platform's");
+        assertEquals(0, check("[node]\nlisten = 7\n"));
+        assertTrue(out.toString().contains("are passed over here"), out.toString());
+    }
+
     @Test
     void aFileThatHoldsEndsWithNought() throws Exception {
         assertEquals(0, check("[class.view]\nattempts = 2\n"));
--- a/src/test/java/vetchpost/sources/MembershipTest.java
+++ b/src/test/java/vetchpost/sources/MembershipTest.java
@@ -167,6 +167,23 @@
         assertEquals(Set.of(), ids(other), "who may not add brings nobody in");
     }
 
+    /** One drains a server and then leaves it out, as it has gone; another names it a while longer. */
+    @Test
+    void whoeverWasDrainedIsNotBackBecauseItIsLeftOut() {
+        Membership fleet = new Membership(List.of(file("a"), dns(30 * S)), RULES);
+        fleet.said(0, List.of(server(1), server(2)), now);
+        fleet.said(1, servers(1, 3), now);
+        fleet.settle(now);
+        fleet.said(0, List.of(server(1), server("", Word.DRAINING, 2)), now);
+        assertTrue(fleet.settle(now).get("127.0.0.1:2").draining());
+        now += S;
+        fleet.said(0, List.of(server(1)), now);
+        assertTrue(fleet.settle(now).get("127.0.0.1:2").draining(), "the word stands while the name names it");
+        fleet.said(0, servers(1, 3), now + 1);
+        now += 2;
+        assertFalse(fleet.settle(now).get("127.0.0.1:2").draining(), "until its source takes it back");
+    }
+
     /** By two names, by v4 and v6: whoever shares an address is one server, and keeps its name. */
     @Test
     void entriesThatShareAnAddressAreOneServer() throws Exception {
