--- a/src/main/java/vetchpost/standalone/StandaloneProver.java
+++ b/src/main/java/vetchpost/standalone/StandaloneProver.java
@@ -146,7 +146,9 @@
         WebLimits limits = limits(own, servers.text("expect-header", ""));
         long idleUs = pool(servers);
         List<Declared> sources = sources(file, servers);
-        if (sources.isEmpty()) {
+        boolean tried = servers.value("servers") instanceof List<?> named ? !named.isEmpty()
+                : servers.has("servers");
+        if (sources.isEmpty() && !tried && first(file, Kind.SOURCE) == null) {
             servers.violated("servers", Rule.INCOMPLETE, "nobody names a server",
                     "[pool] with servers = [\"127.0.0.1:9001\"], or a [[source]]");
         }
--- a/src/test/java/vetchpost/daemon/BodiesTest.java
+++ b/src/test/java/vetchpost/daemon/BodiesTest.java
@@ -62,7 +62,7 @@
     }
 
     /** Reads chunks until the last and tells how many bytes there were; -1 if they break off. */
-    private static long chunks(InputStream in) throws IOException {
+    static long chunks(InputStream in) throws IOException {
         long sum = 0;
         while (true) {
             StringBuilder size = new StringBuilder();
--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -36,6 +36,8 @@
     private Process process;
     private int port;
     private String arguments = "";
+    private String heap = "64m";
+    private volatile long downloaded;
 
     @BeforeEach
     void open() throws Exception {
@@ -69,7 +71,7 @@
                 System.getProperty("java.class.path")).split(File.pathSeparator))
                 .filter(jar -> !jar.contains("slf4j")).collect(Collectors.joining(File.pathSeparator));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
-                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx64m -cp \"$JARS\" "
+                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx" + heap + " -cp \"$JARS\" "
                 + "vetchpost.daemon.Main" + arguments);
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
         builder.environment().put("JAVA", java.toString());
@@ -105,7 +107,7 @@
         while (answer == null || !answer.startsWith("HTTP/1.1 200")) {
             assertTrue(process.isAlive() && System.nanoTime() < until, "never ready");
             try (Socket socket = connect()) {
-                FakePeer.write(socket, "GET " + path + " HTTP/1.1\r\n\r\n");
+                FakePeer.write(socket, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
                 answer = FakePeer.read(socket);
             } catch (IOException e) {
                 // Not listening yet: the process must get the processor to come so far.
@@ -338,4 +340,58 @@
         assertEquals(2, process.exitValue(), said);
         assertTrue(said.contains(named) && said.lines().count() == 1, said);
     }
+
+    /** One file, no environment, 1 GB each way at the same time, in a heap of 40 MB. */
+    @Test
+    void aNodeByOneFilePassesOnMoreThanItCouldHold() throws Exception {
+        long gigabyte = 1L << 30;
+        Path file = Files.createTempFile("node", ".toml");
+        file.toFile().deleteOnExit();
+        Files.writeString(file, "[node]\nlisten = \"127.0.0.1:" + port + "\"\n[pool]\nservers = [\""
+                + server.address() + "\"]\n");
+        arguments = " serve " + file;
+        heap = "40m";
+        run(null, "");
+        await("/");
+        byte[] some = new byte[1 << 16];
+        server.script((socket, request) -> {
+            if (request.startsWith("GET")) {
+                FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: " + gigabyte + "\r\n\r\n");
+                for (long left = gigabyte; left > 0; left -= some.length) {
+                    socket.getOutputStream().write(some);
+                }
+            } else {
+                long read = BodiesTest.chunks(socket.getInputStream());
+                FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+                        + (read == gigabyte ? "ok" : "no"));
+            }
+        });
+        Thread down = new Thread(() -> {
+            try (Socket client = connect()) {
+                FakePeer.write(client, "GET /down HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+                long left = gigabyte;
+                byte[] into = new byte[1 << 16];
+                for (int read = 0; read >= 0; read = client.getInputStream().read(into)) {
+                    left -= read;
+                }
+                downloaded = gigabyte - left;
+            } catch (IOException e) {
+                downloaded = -1;
+            }
+        });
+        down.start();
+        try (Socket client = connect()) {
+            FakePeer.write(client, "PUT /up HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+            for (long left = gigabyte; left > 0; left -= some.length) {
+                FakePeer.write(client, "10000\r\n");
+                client.getOutputStream().write(some);
+                FakePeer.write(client, "\r\n");
+            }
+            FakePeer.write(client, "0\r\n\r\n");
+            assertTrue(FakePeer.read(client).endsWith("ok"));
+        }
+        down.join();
+        assertTrue(downloaded > gigabyte, downloaded + " bytes");
+        assertTrue(process.isAlive());
+    }
 }
--- /dev/null
+++ b/src/test/java/vetchpost/simulation/FleetSeedsTest.java
@@ -0,0 +1,36 @@
+package vetchpost.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.stream.LongStream;
+
+import vetchpost.simulation.fleet.FleetRun;
+import vetchpost.simulation.fleet.FleetRun.Outcome;
+import vetchpost.simulation.fleet.FleetRun.Watch;
+import org.junit.jupiter.api.Test;
+
+/** Sources that err, checks that lie and boxes that fall ill: a few seeds, and the same seed twice. */
+class FleetSeedsTest {
+    private static final int SEEDS = 40;
+
+    @Test
+    void noRuleIsBroken() {
+        double served = 0;
+        for (Watch watch : List.of(Watch.REQUESTS, Watch.BOTH)) {
+            List<Outcome> outcomes = LongStream.rangeClosed(1, SEEDS).parallel()
+                    .mapToObj(seed -> FleetRun.play(seed, watch)).toList();
+            for (int i = 0; i < SEEDS; i++) {
+                assertEquals(List.of(), outcomes.get(i).broken(), "seed " + (i + 1) + " by " + watch);
+                served += (double) outcomes.get(i).served() / outcomes.get(i).wanted() / SEEDS / 2;
+            }
+        }
+        assertTrue(served > 0.99, "served " + served);
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRun() {
+        assertEquals(FleetRun.play(7, Watch.BOTH), FleetRun.play(7, Watch.BOTH));
+    }
+}
--- a/src/test/java/vetchpost/standalone/StandaloneProverTest.java
+++ b/src/test/java/vetchpost/standalone/StandaloneProverTest.java
@@ -80,6 +80,7 @@
                 new Object[] {POOL, Rule.INCOMPLETE, 1, "[node]"},
                 new Object[] {"[node]\n" + POOL, Rule.INCOMPLETE, 1, "listen"},
                 new Object[] {NODE, Rule.INCOMPLETE, 1, "servers"},
+                new Object[] {NODE + "[pool]\nservers = []\n", Rule.INCOMPLETE, 4, "servers"},
                 new Object[] {NODE + "lisen = 1\n" + POOL, Rule.UNKNOWN_KEY, 3, "'listen'"},
                 new Object[] {"[node]\nlisten = \"localhost:80\"\n" + POOL, Rule.BAD_PATTERN, 2, "127.0.0.1:8080"},
                 new Object[] {NODE + "sockets = 5\n" + POOL, Rule.OUT_OF_RANGE, 3, "128"},
