--- a/src/main/java/vetchpost/sources/Register.java
+++ b/src/main/java/vetchpost/sources/Register.java
@@ -20,7 +20,7 @@
     private final Declared declared;
     private final Map<String, Seen> seen = new LinkedHashMap<>();
     /**
-     * Who was said to drain, or to have gone, when it was named last, and is not named any more. That it is left
+     * Who was said to drain when it was named last, and is not named any more. That it is left
      * out then does not take the word back: another source may go on naming it for a while.
      */
     private final Map<String, Seen> lastWords = new LinkedHashMap<>();
@@ -71,7 +71,7 @@
         trouble = "";
         if (declared.keepUs() == 0) {
             seen.forEach((key, last) -> {
-                if (last.named().word() != Word.READY && lastWords.size() < MOST) {
+                if (last.named().word() == Word.DRAINING && lastWords.size() < MOST) {
                     lastWords.put(key, new Seen(last.named(), nowUs));
                 }
             });
@@ -124,7 +124,7 @@
         return all;
     }
 
-    /** Who is not named any more, and was said to drain or to have gone when it was. */
+    /** Who is not named any more, and was said to drain when it was. */
     List<Named> lastWords() {
         List<Named> all = new ArrayList<>(lastWords.size());
         lastWords.values().forEach(s -> all.add(s.named()));
