--- a/src/main/java/vetchpost/conductor/Conductor.java
+++ b/src/main/java/vetchpost/conductor/Conductor.java
@@ -171,7 +171,8 @@
     @Override
     public void ended(String serverId, Result result, Answer answer, boolean stalled, long unusedUs) {
         String drain = settings.drainHeader();
-        if (answer != null && !drain.isEmpty() && answer.fields() != null && answer.fields().get(drain) != null) {
+        if (answer != null && !drain.isEmpty() && answer.fields() != null
+                && answer.fields().get(drain) != null) {
             composer.drains(serverId, nowUs());
             soon();
         }
--- a/src/main/java/vetchpost/conductor/FileWatch.java
+++ b/src/main/java/vetchpost/conductor/FileWatch.java
@@ -26,8 +26,8 @@
 
 /**
  * Watches a file of servers. It is looked at once in a while, on a thread of its own, and read when it looks
- * other than before: a file that is replaced many times in between is read once. What is half written, can't be
- * read or is no list of servers is said to be so, and looked at again the next time.
+ * other than before: a file that is replaced many times in between is read once. What is half written, can't
+ * be read or is no list of servers is said to be so, and looked at again the next time.
  */
 final class FileWatch implements AutoCloseable {
     private static final long MOST_BYTES = 4L << 20;
--- a/src/main/java/vetchpost/conductor/HealthCheck.java
+++ b/src/main/java/vetchpost/conductor/HealthCheck.java
@@ -49,7 +49,8 @@
      *
      * @param mark the field that every answer of this application has; empty for none
      */
-    static void start(EventLoop loop, Network network, InetSocketAddress address, CheckRules rules, String mark,
+    static void start(EventLoop loop, Network network, InetSocketAddress address, CheckRules rules,
+            String mark,
             Consumer<Finding> report) {
         HealthCheck check = new HealthCheck(rules, mark, report);
         check.late = loop.schedule(() -> check.end(Finding.ILL), rules.withinUs(), TimeUnit.MICROSECONDS);
--- a/src/main/java/vetchpost/conductor/NameWatch.java
+++ b/src/main/java/vetchpost/conductor/NameWatch.java
@@ -114,7 +114,8 @@
     }
 
     private void addresses(String name, DnsRecordType type, Consumer<Found> then) {
-        resolver.resolveAll(new DefaultDnsQuestion(name, type)).addListener((Future<List<DnsRecord>> done) -> {
+        resolver.resolveAll(new DefaultDnsQuestion(name, type)).addListener((Future<List<DnsRecord>> done) ->
+                {
             if (closed) {
                 release(done);
                 return;
@@ -232,7 +233,8 @@
 
     /** No sooner than after a second, whatever the answer says, and no later than the file does. */
     private void later(long ttlS) {
-        long us = Math.min(source.everyUs(), TimeUnit.SECONDS.toMicros(Math.max(LEAST_S, Math.min(ttlS, 86_400))));
+        long us = Math.min(source.everyUs(), TimeUnit.SECONDS.toMicros(Math.max(LEAST_S, Math.min(ttlS,
+                86_400))));
         again = loop.schedule(this::ask, us, TimeUnit.MICROSECONDS);
     }
 
--- a/src/main/java/vetchpost/daemon/CheckCommand.java
+++ b/src/main/java/vetchpost/daemon/CheckCommand.java
@@ -93,7 +93,8 @@
                             + " goes by it instead, and passes over the file's own tables.");
                 }
             } else if (read.sections().stream().anyMatch(StandaloneProver::isOwn)) {
-                out.println("[node], [classes], [tenants], [pool], [[source]] and [checks] are passed over here:"
+                out.println("[node], [classes], [tenants], [pool], [[source]] and [checks] are passed "
+                        + "over here:"
                         + " the platform's configuration says that.");
             }
         } else {
--- a/src/main/java/vetchpost/daemon/InitCommand.java
+++ b/src/main/java/vetchpost/daemon/InitCommand.java
@@ -50,16 +50,16 @@
     private String text() {
         String named = servers.stream().map(s -> "    \"" + s + "\",\n").collect(Collectors.joining());
         return """
-                # A vetchpost node by itself: `vetchpost check FILE` proves this file, `vetchpost serve FILE` runs
-                # it. What is commented out is what holds anyway. docs/standalone.md has every key.
+                # A vetchpost node by itself: `check FILE` proves this file, `serve FILE` runs it. What is
+                # commented out is what holds anyway. docs/standalone.md has every key.
 
                 [node]
                 listen = "%s"
                 # max-body = "1GiB"          # longer uploads get 413
                 # forwarded = "both"         # tell servers of the client: standard, custom, both or none
 
-                # Which requests may be sent again after a failure. Without any [classes], GET, HEAD and OPTIONS
-                # may, and nothing else once it may have run.
+                # Which requests may be sent again after a failure. Without any [classes], GET, HEAD and
+                # OPTIONS may, and nothing else once it may have run.
                 #
                 # [classes.read]
                 # methods = ["GET", "HEAD", "OPTIONS"]
--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -92,7 +92,8 @@
         StandaloneProver.Proof alone = StandaloneProver.prove(file.sections());
         violations.addAll(alone.violations());
         if (violations.isEmpty() && alone.standalone() == null) {
-            throw new IllegalArgumentException(path + " has no table [node]: serve --routes takes it beside the"
+            throw new IllegalArgumentException(path
+                    + " has no table [node]: serve --routes takes it beside the"
                     + " platform's configuration, and init prints one that runs by itself");
         }
         Loaded loaded = null;
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -9,7 +9,6 @@
 
 import vetchpost.core.ClientRequest;
 import vetchpost.core.Failure;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -67,10 +66,9 @@
     private long answeredNs;
     private int unwritten;
     private int bad;
-    private int thrownAway;
     private boolean asked;
-    /** Nothing more is taken: what is held and waits is answered, then the connection closed. */
-    private boolean deaf;
+    /** Once it begins: what is held and waits is answered, then the connection closed. */
+    private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
     private boolean ending;
 
     private ClientConnection(ClientServer server, Channel channel) {
@@ -83,7 +81,7 @@
     /** Sets up a client's connection. */
     static void open(ClientServer server, ChannelPipeline pipeline) {
         ClientConnection connection = new ClientConnection(server, pipeline.channel());
-        pipeline.addLast(connection.new Deafness(), connection.decoder, new HttpResponseEncoder(),
+        pipeline.addLast(connection.deafness, connection.decoder, new HttpResponseEncoder(),
                 connection.new BodyReader(), connection);
     }
 
@@ -151,7 +149,7 @@
         long now = server.nanos();
         server.inHand().remove(partCost);
         partCost = 0;
-        if (deaf || !(message instanceof FullHttpRequest http)) {
+        if (deafness.isDeaf() || !(message instanceof FullHttpRequest http)) {
             ReferenceCountUtil.release(message);
             return;
         }
@@ -237,7 +235,7 @@
 
     /** Nothing that follows on the connection can be understood; what is held is answered first. */
     private void reject(BadRequest e) {
-        deaf = true;
+        deafness.begin();
         if (held != null || !ahead.isEmpty() || ending) {
             return;
         }
@@ -258,10 +256,10 @@
         heldCost = 0;
         boolean last = ahead.isEmpty();
         boolean keep = keepAlive && !ending && bad < MOST_BAD
-                && !(last && (deaf || server.endsConnections()));
+                && !(last && (deafness.isDeaf() || server.endsConnections()));
         ChannelFuture writing = write(keep ? response : closing(response));
         if (!keep) {
-            deaf = true;
+            deafness.begin();
             ending = true;
             writing.addListener(ChannelFutureListener.CLOSE);
         } else if (!last) {
@@ -309,22 +307,6 @@
         }
     }
 
-    /** Once nothing more is taken, bytes cost no decoding, and beyond some of them no reading. */
-    private final class Deafness extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (!deaf) {
-                ctx.fireChannelRead(message);
-                return;
-            }
-            thrownAway += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
-            ReferenceCountUtil.release(message);
-            if (thrownAway > MOST_THROWN_AWAY) {
-                channel.config().setAutoRead(false);
-            }
-        }
-    }
-
     /** Reads a request whole; one that is too large is told so and its connection closed. */
     private final class BodyReader extends HttpObjectAggregator {
         BodyReader() {
@@ -334,7 +316,7 @@
         @Override
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
             int more = message instanceof HttpContent content ? content.content().readableBytes() : 0;
-            if (deaf || !server.inHand().add(more)) {
+            if (deafness.isDeaf() || !server.inHand().add(more)) {
                 ReferenceCountUtil.release(message);
                 reject(new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too much at once"));
                 return;
--- /dev/null
+++ b/src/main/java/vetchpost/http/Deafness.java
@@ -0,0 +1,50 @@
+package vetchpost.http;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.util.ReferenceCountUtil;
+
+/**
+ * Stands before a client's decoder. Once nothing more is taken, bytes cost no decoding, and beyond some of
+ * them no
+ * reading: closed on unread bytes, the system would take back the reason that the client has not read yet.
+ */
+public final class Deafness extends ChannelInboundHandlerAdapter {
+    private final int most;
+    private int thrownAway;
+    private boolean deaf;
+
+    /** Lets all through, for now; later throws away so many bytes before it stops to read. */
+    public Deafness(int most) {
+        this.most = most;
+    }
+
+    /** Nothing more is taken. */
+    public void begin() {
+        deaf = true;
+    }
+
+    /** Whether nothing more is taken. */
+    public boolean isDeaf() {
+        return deaf;
+    }
+
+    /** Whether what comes should still be read, to be thrown away. */
+    public boolean isReading() {
+        return thrownAway <= most;
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object message) {
+        if (!deaf) {
+            ctx.fireChannelRead(message);
+            return;
+        }
+        thrownAway += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
+        ReferenceCountUtil.release(message);
+        if (!isReading()) {
+            ctx.channel().config().setAutoRead(false);
+        }
+    }
+}
--- a/src/main/java/vetchpost/http/HttpReply.java
+++ b/src/main/java/vetchpost/http/HttpReply.java
@@ -13,7 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 
 /** The one answer to a request of a client's connection. */
-final class HttpReply implements ClientReply {
+public final class HttpReply implements ClientReply {
     private final ClientConnection connection;
     private final boolean keepAlive;
     private Runnable whenGone = () -> { };
@@ -82,7 +82,8 @@
         connection.answer(response, keepAlive);
     }
 
-    static FullHttpResponse plain(HttpResponseStatus status, String reason) {
+    /** A short answer of the node's own. */
+    public static FullHttpResponse plain(HttpResponseStatus status, String reason) {
         FullHttpResponse response = response(status, (reason + "\n").getBytes(StandardCharsets.UTF_8));
         response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
         return response;
--- a/src/main/java/vetchpost/http/RequestReader.java
+++ b/src/main/java/vetchpost/http/RequestReader.java
@@ -15,7 +15,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 
 /** Reads clients' requests and checks them by the settings. */
-final class RequestReader {
+public final class RequestReader {
     /** What a server is told of the time left, in milliseconds. */
     static final String REMAINING = "X-Remaining-Ms";
     private static final String ID = "X-Txn";
@@ -114,7 +114,7 @@
     }
 
     /** Plain digits, or -1. */
-    private static long whole(String text, int mostDigits) {
+    public static long whole(String text, int mostDigits) {
         if (text == null || text.isEmpty() || text.length() > mostDigits) {
             return -1;
         }
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -201,7 +201,8 @@
                 if (rehearsed == 0) {
                     ready.run();
                 } else {
-                    new Rehearsal(loop, network, config, fronts, (InetSocketAddress) binding.channel().localAddress(),
+                    new Rehearsal(loop, network, config, fronts,
+                            (InetSocketAddress) binding.channel().localAddress(),
                             token, rehearsed, REHEARSE_MS, ready).run();
                 }
             }
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -485,7 +485,8 @@
         Limits limits = new Limits(attemptUs, totalUs, attempts, (long) value(own, Key.BACKOFF, 0),
                 value(own, Key.JITTER, 0), (long) value(own, Key.COPY_AFTER, 0),
                 (int) value(own, Key.COPY_PERCENTILE, 0), value(own, Key.RETRY_BUDGET, 0),
-                (int) value(own, Key.CONCURRENCY, 0), (long) value(own, Key.MAX_BODY, alone ? Long.MAX_VALUE : MOST_BODY),
+                (int) value(own, Key.CONCURRENCY, 0), (long) value(own, Key.MAX_BODY, alone ? Long.MAX_VALUE
+                        : MOST_BODY),
                 (long) value(own, Key.RETRY_AFTER, -1));
         if (!checking) {
             return limits;
--- a/src/main/java/vetchpost/routes/SectionReader.java
+++ b/src/main/java/vetchpost/routes/SectionReader.java
@@ -216,7 +216,8 @@
     /** A length of time as a file would have it. */
     public static String time(long us) {
         return us != 0 && us % 3_600_000_000L == 0 ? us / 3_600_000_000L + "h"
-                : us % 1_000_000 == 0 ? us / 1_000_000 + "s" : us % 1_000 == 0 ? us / 1_000 + "ms" : us + "us";
+                : us % 1_000_000 == 0 ? us / 1_000_000 + "s" : us % 1_000 == 0 ? us / 1_000 + "ms" : us
+                + "us";
     }
 
     /** A size as a file would have it. */
--- a/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
+++ b/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
@@ -20,9 +20,11 @@
 
 /** The command {@code fleet}: sources that err, checks that lie and boxes that fall ill, by seeds. */
 @Command(name = "fleet", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Plays a node before boxes that fall ill and recover, with servers by sources that err and "
+        description = {"Plays a node before boxes that fall ill and recover, with servers by sources "
+                + "that err and "
             + "checks that lie, all drawn from a seed, and checks the rules.",
-            "Compares who finds out what is ill: requests alone, checks that know nothing of them, and both."},
+            "Compares who finds out what is ill: requests alone, checks that know nothing of them, and "
+                    + "both."},
         exitCodeListHeading = "Exit codes:%n", exitCodeList = {"0:no rule broken", "1:some run breaks a rule",
             "2:bad arguments"},
         footer = {"", "Example:", "  fleet --seeds 2000 --svg notice.svg"})
@@ -61,7 +63,8 @@
                     .mapToObj(seed -> FleetRun.play(seed, watch)).toList();
             for (int i = 0; i < outcomes.size(); i++) {
                 for (String each : outcomes.get(i).broken()) {
-                    broken.add("seed " + (i + 1) + ", " + watch.name().toLowerCase(Locale.ROOT) + ": " + each);
+                    broken.add("seed " + (i + 1) + ", " + watch.name().toLowerCase(Locale.ROOT) + ": "
+                            + each);
                 }
             }
             Sum sum = new Sum(watch, mean(outcomes, o -> (double) o.served() / o.wanted()),
@@ -92,8 +95,10 @@
     }
 
     private static String svg(List<Sum> sums) {
-        StringBuilder text = new StringBuilder(String.format(Locale.ROOT, "<svg xmlns=\"http://www.w3.org/2000/svg\""
-                + " viewBox=\"0 0 %d %d\" font-family=\"sans-serif\" font-size=\"13\">%n<title>Who finds out what "
+        StringBuilder text = new StringBuilder(String.format(Locale.ROOT,
+                "<svg xmlns=\"http://www.w3.org/2000/svg\""
+                + " viewBox=\"0 0 %d %d\" font-family=\"sans-serif\" font-size=\"13\">%n<title>Who finds "
+                        + "out what "
                 + "is ill</title>%n<rect width=\"100%%\" height=\"100%%\" fill=\"white\"/>%n",
                 GAP + 3 * (WIDTH + GAP), HEIGHT + 2 * GAP));
         bars(text, 0, "requests not served, %", sums, s -> 100 * (1 - s.served));
--- a/src/main/java/vetchpost/simulation/fleet/FleetRun.java
+++ b/src/main/java/vetchpost/simulation/fleet/FleetRun.java
@@ -42,9 +42,9 @@
 import vetchpost.sources.Named.Word;
 
 /**
- * One node with its core, module and list of servers, on virtual time, before modelled boxes that fall ill and
- * recover, sources that err and checks that lie; all of it drawn from a seed. After a while nothing more goes
- * wrong, and every box that is well has to be served again. The same seed gives the same run.
+ * One node with its core, module and list of servers, on virtual time, before modelled boxes that fall ill
+ * and recover, sources that err and checks that lie; all of it drawn from a seed. After a while nothing more
+ * goes wrong, and every box that is well has to be served again. The same seed gives the same run.
  */
 public final class FleetRun {
     private static final long START_US = 1_767_225_600_000_000L;
@@ -59,7 +59,8 @@
     private static final long WORK_US = 10_000;
     private static final long WAY_US = 300;
     private static final MergeRules MERGE = new MergeRules(0.5, 5 * S, 4, 10 * S, 2 * S);
-    private static final CheckRules CHECKS = new CheckRules("/healthy", "a", 200, 399, 2 * S, S / 2, 2, 3, 20, 3,
+    private static final CheckRules CHECKS = new CheckRules("/healthy", "a", 200, 399, 2 * S, S / 2, 2, 3, 20,
+            3,
             1, 0, 0.5);
 
     /** Who finds out what is ill. */
@@ -133,7 +134,8 @@
     private static Settings settings() {
         Settings set = new Settings();
         for (Repeat repeat : Repeat.values()) {
-            set.classes.add(new RequestClass(repeat.name(), 300_000, 0, S, 1, 0.5, repeat, Group.ALL, S, false));
+            set.classes.add(new RequestClass(repeat.name(), 300_000, 0, S, 1, 0.5, repeat, Group.ALL, S,
+                    false));
         }
         set.maxAttempts = 3;
         set.cancel = true;
@@ -143,7 +145,9 @@
         return set;
     }
 
-    /** One to three sources: a file that names all, a name that gives halves in turn, or both, and who errs. */
+    /**
+     * One to three sources: a file that names all, a name that gives halves in turn, or both, and who errs.
+     */
     private void draw() {
         int kinds = 1 + chance.nextInt(3);
         if (kinds != 2) {
--- a/src/main/java/vetchpost/sources/CheckPlan.java
+++ b/src/main/java/vetchpost/sources/CheckPlan.java
@@ -14,8 +14,8 @@
  * has just served is not checked, and a check that fails while real requests are served counts for nothing.
  * A server is checked regularly by a few nodes of a group only, chosen by hashes of both (rendezvous
  * hashing, Thaler and Ravishankar 1998), so that neither more nodes nor more servers mean more checks for a
- * server; whoever a node's own requests have failed at is checked by that node soon. All of it is bounded by a
- * number of checks a second. Checks take out no more than a share of the fleet, the first that failed: when
+ * server; whoever a node's own requests have failed at is checked by that node soon. All of it is bounded by
+ * a number of checks a second. Checks take out no more than a share of the fleet, the first that failed: when
  * all fail at once it is the node's own network.
  */
 public final class CheckPlan {
@@ -145,7 +145,9 @@
         return (long) (us * (1 - JITTER + 2 * JITTER * random.nextDouble()));
     }
 
-    /** The servers to be checked now, as far as the budget goes and so many at most; each is reported once. */
+    /**
+     * The servers to be checked now, as far as the budget goes and so many at most; each is reported once.
+     */
     public List<String> due(long nowUs, int most) {
         refill(nowUs);
         List<Checked> due = new ArrayList<>();
@@ -192,7 +194,8 @@
             return next;
         }
         refill(nowUs);
-        long affordUs = tokens >= 1 ? nowUs : nowUs + (long) Math.ceil((1 - tokens) * 1e6 / rules.budgetPerS());
+        long affordUs = tokens >= 1 ? nowUs : nowUs
+                + (long) Math.ceil((1 - tokens) * 1e6 / rules.budgetPerS());
         return Math.max(next, affordUs);
     }
 
--- a/src/main/java/vetchpost/sources/Composer.java
+++ b/src/main/java/vetchpost/sources/Composer.java
@@ -87,7 +87,8 @@
             }
         }
         starts.keySet().retainAll(members.keySet());
-        long cold = starts.values().stream().filter(s -> s.isSpared() && nowUs - s.sinceUs() < coldUs).count();
+        long cold = starts.values().stream().filter(s -> s.isSpared()
+                && nowUs - s.sinceUs() < coldUs).count();
         for (Member member : members.values()) {
             long since = Math.max(member.sinceUs(), backUs.getOrDefault(member.id(), 0L));
             Start start = starts.get(member.id());
--- a/src/main/java/vetchpost/sources/Membership.java
+++ b/src/main/java/vetchpost/sources/Membership.java
@@ -35,7 +35,9 @@
     private final Map<String, Long> leftOut = new HashMap<>();
     /** When those that are out went, to know who is back. */
     private final Map<String, Long> wentUs = new LinkedHashMap<>();
-    /** When those went that have gone lately because nobody names them; one that comes and goes counts once. */
+    /**
+     * When those went that have gone lately because nobody names them; one that comes and goes counts once.
+     */
     private final Map<String, Long> goneUs = new HashMap<>();
     private int heldBack;
     private int flapping;
--- a/src/main/java/vetchpost/standalone/RequestRule.java
+++ b/src/main/java/vetchpost/standalone/RequestRule.java
@@ -31,11 +31,14 @@
                 && (path.length() == length || path.charAt(length) == '/');
     }
 
-    /** Whether all that the other matches is matched by this too, as far as methods, paths and fields tell. */
+    /**
+     * Whether all that the other matches is matched by this too, as far as methods, paths and fields tell.
+     */
     boolean covers(RequestRule other) {
         return (methods.isEmpty() || !other.methods.isEmpty() && methods.containsAll(other.methods))
                 && (header.isEmpty() || header.equalsIgnoreCase(other.header))
-                && (paths.isEmpty() || !other.paths.isEmpty() && other.paths.stream().allMatch(this::coversPath));
+                && (paths.isEmpty() || !other.paths.isEmpty()
+                && other.paths.stream().allMatch(this::coversPath));
     }
 
     private boolean coversPath(String other) {
--- a/src/main/java/vetchpost/standalone/StandaloneProver.java
+++ b/src/main/java/vetchpost/standalone/StandaloneProver.java
@@ -157,7 +157,8 @@
                 servers.duration("calm", 60 * SECOND, SECOND, DAY),
                 servers.duration("absent", 5 * SECOND, 0, HOUR));
         Section checking = first(file, Kind.CHECKS);
-        CheckRules checks = checking == null ? null : checks(new SectionReader(checking, "checks", violations),
+        CheckRules checks = checking == null ? null : checks(new SectionReader(checking, "checks",
+                violations),
                 number);
         String tenantHeader = own.text("tenant-header", "");
         String drainHeader = servers.text("drain-header", "");
@@ -203,7 +204,8 @@
                 own.duration("idle", 30 * SECOND, 100 * MS, HOUR),
                 own.duration("keep-alive", 75 * SECOND, 0, DAY),
                 own.duration("upload-within", HOUR, SECOND, DAY), name,
-                Forwarded.valueOf(forwarded.toUpperCase(Locale.ROOT)), own.flag("trust-forwarded", false), mark);
+                Forwarded.valueOf(forwarded.toUpperCase(Locale.ROOT)), own.flag("trust-forwarded", false),
+                        mark);
     }
 
     // ---------------------------------------------------------------- classes of requests
@@ -367,7 +369,8 @@
         int port = own.whole("port", 0, 1, 65_535);
         if (kind.equals("dns") != own.has("port")) {
             own.violated("port", kind.equals("dns") ? Rule.INCOMPLETE : Rule.UNREACHABLE,
-                    kind.equals("dns") ? "addresses of a name have no port" : "the port is told by the " + kind,
+                    kind.equals("dns") ? "addresses of a name have no port" : "the port is told by the "
+                            + kind,
                     kind.equals("dns") ? "port = 80" : "no port");
         }
         Set<May> may = EnumSet.noneOf(May.class);
@@ -411,7 +414,8 @@
         for (Object each : list) {
             try {
                 Named named = ServerWords.named(each);
-                if (servers.stream().anyMatch(s -> s.addresses().stream().anyMatch(named.addresses()::contains))) {
+                if (servers.stream().anyMatch(s ->
+                        s.addresses().stream().anyMatch(named.addresses()::contains))) {
                     pool.violated("servers", Rule.SAME_MATCH, Named.text(named.addresses().get(0))
                             + " is named twice", "each server once");
                 }
@@ -448,7 +452,8 @@
                     + SectionReader.time(every) + "\"");
         }
         return new CheckRules(path, own.text("host", "localhost"), least, most, every, within,
-                own.whole("rise", 2, 1, 100), own.whole("fall", 3, 1, 100), own.number("budget", 20, 0.1, 10_000),
+                own.whole("rise", 2, 1, 100), own.whole("fall", 3, 1, 100), own.number("budget", 20, 0.1,
+                        10_000),
                 own.whole("watchers", 3, 1, 100), settings.nodes, number, own.number("most-out", 0.5, 0, 1));
     }
 
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -15,9 +15,10 @@
 import vetchpost.http.BadRequest;
 import vetchpost.http.ClientLine;
 import vetchpost.http.ClientServer;
+import vetchpost.http.Deafness;
+import vetchpost.http.HttpReply;
 import vetchpost.http.InHand;
 import vetchpost.http.RequestDecoder;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -102,13 +103,12 @@
     private boolean asked;
     private boolean pumping;
     private boolean scheduled;
-    private boolean deaf;
+    private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
     private boolean ending;
     /** The connection ends with the answer that is being passed on. */
     private boolean closing;
     private boolean answeredWhole;
     private int unwritten;
-    private int thrownAway;
     private long begunNs;
     private long readNs;
     private long writtenNs;
@@ -125,7 +125,7 @@
 
     static void open(WebFront front, ClientServer server, ChannelPipeline pipeline) {
         WebConnection connection = new WebConnection(front, server, pipeline.channel());
-        pipeline.addLast(connection.new Deafness(), connection.decoder, connection.encoder, connection);
+        pipeline.addLast(connection.deafness, connection.decoder, connection.encoder, connection);
     }
 
     long number() {
@@ -162,7 +162,8 @@
         } else if (phase == Phase.HEAD && reply == null) {
             if (decoder.isMidRequest() && nowNs - (asked ? begunNs : openedNs) > headNs) {
                 reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "request not whole in time"));
-            } else if (!decoder.isMidRequest() && ahead.isEmpty() && nowNs - restedNs > (asked ? keptNs : headNs)) {
+            } else if (!decoder.isMidRequest() && ahead.isEmpty() && nowNs - restedNs > (asked ? keptNs
+                    : headNs)) {
                 close();
             }
         } else if ((phase == Phase.BODY || phase == Phase.REST && rest.ready) && ahead.isEmpty()
@@ -194,7 +195,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (deaf || !(message instanceof HttpObject part)) {
+        if (deafness.isDeaf() || !(message instanceof HttpObject part)) {
             ReferenceCountUtil.release(message);
             return;
         }
@@ -226,7 +227,7 @@
     }
 
     private void settleReading() {
-        channel.config().setAutoRead(deaf ? thrownAway <= MOST_THROWN_AWAY
+        channel.config().setAutoRead(deafness.isDeaf() ? deafness.isReading()
                 : aheadBytes < MOST_AHEAD && ahead.size() < MOST_PARTS);
     }
 
@@ -248,7 +249,7 @@
     }
 
     private boolean step(HttpObject part) {
-        if (deaf) {
+        if (deafness.isDeaf()) {
             poll();
             return true;
         }
@@ -361,7 +362,7 @@
         encoder.head = head.method().equals(HttpMethod.HEAD);
         reply = new WebReply(this, front, encoder.head, head.protocolVersion().equals(HttpVersion.HTTP_1_0));
         if (server.isRehearsal(head)) {
-            reply.say(WebReply.plain(HttpResponseStatus.OK, "rehearsed"));
+            reply.say(HttpReply.plain(HttpResponseStatus.OK, "rehearsed"));
             return;
         }
         byte[] whole = held == body.length ? body : Arrays.copyOf(body, held);
@@ -470,7 +471,7 @@
         }
         becomeDeaf();
         ending = true;
-        FullHttpResponse response = WebReply.plain(e.status(), e.getMessage());
+        FullHttpResponse response = HttpReply.plain(e.status(), e.getMessage());
         if (e.status().equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
             response.headers().set(HttpHeaderNames.ALLOW, "GET, HEAD, OPTIONS, POST, PUT, PATCH, DELETE");
         }
@@ -488,7 +489,7 @@
     }
 
     private void becomeDeaf() {
-        deaf = true;
+        deafness.begin();
         while (!ahead.isEmpty()) {
             poll();
         }
@@ -533,7 +534,7 @@
     }
 
     private boolean closesAfter() {
-        return !keepAlive || deaf || phase == Phase.REST || server.endsConnections();
+        return !keepAlive || deafness.isDeaf() || phase == Phase.REST || server.endsConnections();
     }
 
     private static void connectionField(HttpMessage response, boolean last) {
@@ -624,18 +625,4 @@
             close();
         }
     }
-
-    /** Once nothing more is taken, bytes cost no decoding, and beyond some of them no reading. */
-    private final class Deafness extends ChannelInboundHandlerAdapter {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object message) {
-            if (!deaf) {
-                ctx.fireChannelRead(message);
-                return;
-            }
-            thrownAway += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
-            ReferenceCountUtil.release(message);
-            settleReading();
-        }
-    }
 }
--- a/src/main/java/vetchpost/web/WebExchange.java
+++ b/src/main/java/vetchpost/web/WebExchange.java
@@ -229,7 +229,8 @@
         int more = content.content().readableBytes();
         if (!begun && size + more <= limits.holdBytes()) {
             if (size + more > held.length) {
-                held = Arrays.copyOf(held, Math.max(size + more, Math.min(limits.holdBytes(), 2 * held.length)));
+                held = Arrays.copyOf(held, Math.max(size + more, Math.min(limits.holdBytes(),
+                        2 * held.length)));
             }
             content.content().readBytes(held, size, more);
             size += more;
--- a/src/main/java/vetchpost/web/WebFront.java
+++ b/src/main/java/vetchpost/web/WebFront.java
@@ -14,6 +14,7 @@
 import vetchpost.http.ClientServer;
 import vetchpost.http.Exchange;
 import vetchpost.http.HeaderFields;
+import vetchpost.http.RequestReader;
 import vetchpost.standalone.Classifier;
 import vetchpost.standalone.WebLimits;
 import io.netty.channel.ChannelPipeline;
@@ -97,7 +98,7 @@
         String host = headers.get(HttpHeaderNames.HOST);
         int tenant = classifier.tenantOf(host, headers::get);
         long remainingUs = rest != null ? limits.uploadUs() : deadlineUs(classIndex);
-        long saidMs = whole(headers.get(REMAINING));
+        long saidMs = RequestReader.whole(headers.get(REMAINING), MOST_DIGITS);
         if (saidMs > 0) {
             remainingUs = Math.min(remainingUs, 1_000 * saidMs);
         }
@@ -166,16 +167,4 @@
             headers.set(name, value);
         }
     }
-
-    private static long whole(String text) {
-        if (text == null || text.isEmpty() || text.length() > MOST_DIGITS) {
-            return -1;
-        }
-        for (int i = 0; i < text.length(); i++) {
-            if (text.charAt(i) < '0' || text.charAt(i) > '9') {
-                return -1;
-            }
-        }
-        return Long.parseLong(text);
-    }
 }
--- a/src/main/java/vetchpost/web/WebReply.java
+++ b/src/main/java/vetchpost/web/WebReply.java
@@ -1,12 +1,12 @@
 package vetchpost.web;
 
-import java.nio.charset.StandardCharsets;
 import java.util.Date;
 
 import vetchpost.core.Answer;
 import vetchpost.core.BodySink;
 import vetchpost.core.ClientReply;
 import vetchpost.core.Failure;
+import vetchpost.http.HttpReply;
 import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.DateFormatter;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -160,7 +160,8 @@
 
     @Override
     public void refused(long retryAfterUs) {
-        FullHttpResponse response = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused, try again");
+        FullHttpResponse response = HttpReply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE,
+                "refused, try again");
         if (retryAfterUs > 0) {
             // Whole seconds (RFC 9110, section 10.2.3), and never less than what was advised.
             response.headers().set(HttpHeaderNames.RETRY_AFTER, (retryAfterUs + 999_999) / 1_000_000);
@@ -171,13 +172,15 @@
     @Override
     public void failed(Failure why) {
         say(switch (why) {
-            case DUPLICATE_ID -> plain(HttpResponseStatus.CONFLICT, "a request of this id is in hand");
-            case GIVEN_UP -> plain(HttpResponseStatus.BAD_GATEWAY, "no server has answered");
-            case OUT_OF_TIME -> plain(HttpResponseStatus.GATEWAY_TIMEOUT, "no server has answered in time");
-            case BAD_PATH -> plain(HttpResponseStatus.BAD_REQUEST, "path can be read in two ways");
-            case TOO_LARGE -> plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
+            case DUPLICATE_ID -> HttpReply.plain(HttpResponseStatus.CONFLICT,
+                    "a request of this id is in hand");
+            case GIVEN_UP -> HttpReply.plain(HttpResponseStatus.BAD_GATEWAY, "no server has answered");
+            case OUT_OF_TIME -> HttpReply.plain(HttpResponseStatus.GATEWAY_TIMEOUT,
+                    "no server has answered in time");
+            case BAD_PATH -> HttpReply.plain(HttpResponseStatus.BAD_REQUEST, "path can be read in two ways");
+            case TOO_LARGE -> HttpReply.plain(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE,
                     "body over its route's limit, or of no said length where there is one");
-            case INTERNAL -> plain(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
+            case INTERNAL -> HttpReply.plain(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
         });
     }
 
@@ -191,13 +194,4 @@
         ended = true;
         connection.answer(response, head);
     }
-
-    static FullHttpResponse plain(HttpResponseStatus status, String reason) {
-        byte[] text = (reason + "\n").getBytes(StandardCharsets.UTF_8);
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
-                Unpooled.wrappedBuffer(text));
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.length);
-        response.headers().set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8");
-        return response;
-    }
 }
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -48,7 +48,8 @@
     @ArchTest
     static final ArchRule SOCKETS_COME_FROM_THE_NETWORK = noClasses()
             .that().resideInAnyPackage("vetchpost.http..", "vetchpost.discovery..", "vetchpost.node..",
-                    "vetchpost.handover..", "vetchpost.recovery..", "vetchpost.web..", "vetchpost.conductor..")
+                    "vetchpost.handover..", "vetchpost.recovery..", "vetchpost.web..",
+                            "vetchpost.conductor..")
             .should().dependOnClassesThat().resideInAnyPackage("io.netty.channel.nio..",
                     "io.netty.channel.socket.nio..");
 
@@ -105,7 +106,9 @@
             .should().dependOnClassesThat().resideInAnyPackage("vetchpost.recovery..", "vetchpost.node..",
                     "vetchpost.http..", "vetchpost.discovery..", "vetchpost.config..", "vetchpost.daemon..");
 
-    /** Who is in the fleet, who is checked and what a file comes to is decided without a clock or a socket. */
+    /**
+     * Who is in the fleet, who is checked and what a file comes to is decided without a clock or a socket.
+     */
     @ArchTest
     static final ArchRule SOURCES_DECIDE_WITHOUT_INPUT_OR_OUTPUT = classes()
             .that().resideInAnyPackage("vetchpost.sources", "vetchpost.standalone")
--- a/src/test/java/vetchpost/conductor/NameServer.java
+++ b/src/test/java/vetchpost/conductor/NameServer.java
@@ -52,7 +52,8 @@
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new DatagramDnsQueryDecoder(), new DatagramDnsResponseEncoder(),
+                        channel.pipeline().addLast(new DatagramDnsQueryDecoder(),
+                                new DatagramDnsResponseEncoder(),
                                 new Datagrams());
                     }
                 }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
@@ -118,7 +119,8 @@
     private final class Datagrams extends SimpleChannelInboundHandler<DatagramDnsQuery> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramDnsQuery query) {
-            DatagramDnsResponse response = new DatagramDnsResponse(query.recipient(), query.sender(), query.id());
+            DatagramDnsResponse response = new DatagramDnsResponse(query.recipient(), query.sender(),
+                    query.id());
             fill(query.recordAt(DnsSection.QUESTION), response, false);
             ctx.writeAndFlush(response);
         }
--- a/src/test/java/vetchpost/conductor/SourcesTest.java
+++ b/src/test/java/vetchpost/conductor/SourcesTest.java
@@ -90,8 +90,10 @@
     @Test
     void aFileIsReadAgainWhenItHasChangedAndAHalfWrittenOneIsNot() throws Exception {
         Path file = folder.resolve("servers.json");
-        Files.writeString(file, "[\"127.0.0.1:1\", {\"address\": \"127.0.0.1:2\", \"weight\": 3, \"id\": \"b\"}]");
-        try (FileWatch watch = new FileWatch(source(Kind.FILE, file.toString(), 5 * MS), thread, loop, listener)) {
+        Files.writeString(file,
+                "[\"127.0.0.1:1\", {\"address\": \"127.0.0.1:2\", \"weight\": 3, \"id\": \"b\"}]");
+        try (FileWatch watch = new FileWatch(source(Kind.FILE, file.toString(), 5 * MS), thread, loop,
+                listener)) {
             assertNotNull(watch);
             assertEquals("127.0.0.1:1 b=127.0.0.1:2*3", next());
             Files.writeString(file, "{\"servers\": [\"127.0.0.1:1\",");
@@ -110,7 +112,8 @@
     void aFileThatIsReplacedWithoutPauseIsReadNowAndThen() throws Exception {
         Path file = folder.resolve("servers.toml");
         Files.writeString(file, "servers = [\"127.0.0.1:1\"]");
-        try (FileWatch watch = new FileWatch(source(Kind.FILE, file.toString(), 100 * MS), thread, loop, listener)) {
+        try (FileWatch watch = new FileWatch(source(Kind.FILE, file.toString(), 100 * MS), thread, loop,
+                listener)) {
             assertNotNull(watch);
             assertEquals("127.0.0.1:1", next());
             Path fresh = folder.resolve("fresh");
@@ -130,12 +133,15 @@
     void aListNamesServersOrSaysWhatIsWrong() {
         for (String bad : List.of("{", "7", "{\"servers\": 7}", "[7]", "[\"localhost:1\"]", "[\"127.0.0.1\"]",
                 "[\"127.0.0.1:99999\"]", "[\"999.0.0.1:1\"]", "[{\"adress\": \"127.0.0.1:1\"}]",
-                "[{\"address\": \"127.0.0.1:1\", \"weight\": -1}]", "[{\"address\": \"127.0.0.1:1\", \"weight\": \"2\"}]",
+                "[{\"address\": \"127.0.0.1:1\", \"weight\": -1}]",
+                        "[{\"address\": \"127.0.0.1:1\", \"weight\": \"2\"}]",
                 "[{\"address\": \"127.0.0.1:1\", \"state\": \"gon\"}]", "[{\"addresses\": []}]", "[null]")) {
             assertThrows(IllegalArgumentException.class, () -> FileWatch.parse("x.json", bad), bad);
         }
-        assertThrows(IllegalArgumentException.class, () -> FileWatch.parse("x.toml", "server = [\"127.0.0.1:1\"]"));
-        assertThrows(IllegalArgumentException.class, () -> FileWatch.parse("x.toml", "servers = [\"127.0.0.1:1\""));
+        assertThrows(IllegalArgumentException.class, () -> FileWatch.parse("x.toml",
+                "server = [\"127.0.0.1:1\"]"));
+        assertThrows(IllegalArgumentException.class, () -> FileWatch.parse("x.toml",
+                "servers = [\"127.0.0.1:1\""));
         assertEquals(Named.Word.DRAINING, FileWatch.parse("x.toml",
                 "servers = [{ address = \"127.0.0.1:1\", state = \"draining\" }]").get(0).word());
     }
--- a/src/test/java/vetchpost/daemon/CommandsTest.java
+++ b/src/test/java/vetchpost/daemon/CommandsTest.java
@@ -60,7 +60,8 @@
     /** What init prints is a file that check takes as it is, without any environment. */
     @Test
     void whatInitPrintsHolds() throws Exception {
-        assertEquals(0, run(new InitCommand(), "--listen", "127.0.0.1:0", "--server", peer.address(), "--server",
+        assertEquals(0, run(new InitCommand(), "--listen", "127.0.0.1:0", "--server", peer.address(),
+                "--server",
                 "[::1]:9002"));
         Path file = Files.writeString(folder.resolve("node.toml"), out.toString());
         assertEquals(0, run(new CheckCommand(), file.toString()));
@@ -75,7 +76,8 @@
     void theShippedFileIsANodeByItselfAndBesideThePlatform() throws Exception {
         assertEquals(0, run(new CheckCommand(), "deploy/vetchpost.toml"));
         assertEquals(0, run(new CheckCommand(), "deploy/vetchpost.toml", "--explain", "cover"));
-        assertEquals(2, check("[node]\nlisten = 7\n[class.nobody]\n"), "beside it, its classes are the platform's");
+        assertEquals(2, check("[node]\nlisten = 7\n[class.nobody]\n"),
+                "beside it, its classes are the platform's");
         assertEquals(0, check("[node]\nlisten = 7\n"));
         assertTrue(out.toString().contains("are passed over here"), out.toString());
     }
--- a/src/test/java/vetchpost/daemon/GatewayTest.java
+++ b/src/test/java/vetchpost/daemon/GatewayTest.java
@@ -44,7 +44,8 @@
     @Test
     void anAnswerIsPassedOnAsItIs() throws Exception {
         first.script(FakePeer.answer("404 Not Found", "Set-Cookie: a=1\r\nSet-Cookie: b=2\r\nETag: \"x\"\r\n"
-                + "Content-Type: text/html\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n", "gone"));
+                + "Content-Type: text/html\r\nConnection: X-Hop\r\nX-Hop: 1\r\nKeep-Alive: timeout=5\r\n",
+                "gone"));
         try (Alone node = node()) {
             String answer = node.all(Alone.get("/a?b=c", CLOSE));
             assertTrue(answer.startsWith("HTTP/1.1 404 Not Found\r\n"), answer);
@@ -52,7 +53,8 @@
             assertEquals("\"x\"", FakePeer.header(answer, "etag"));
             assertEquals("1.1 vetchpost", FakePeer.header(answer, "via"));
             assertNotNull(FakePeer.header(answer, "date"), "a date is added where the server gives none");
-            assertNull(FakePeer.header(answer, "x-hop"), "what belongs to the server's connection ends there");
+            assertNull(FakePeer.header(answer, "x-hop"),
+                    "what belongs to the server's connection ends there");
             assertNull(FakePeer.header(answer, "keep-alive"));
             assertTrue(answer.endsWith("\r\n\r\ngone"), answer);
         }
@@ -61,7 +63,8 @@
     @Test
     void aRequestIsPassedOnWithoutWhatIsItsConnections() throws Exception {
         try (Alone node = node()) {
-            node.all(Alone.get("/a%2Fb?q=%20", "Connection: close, X-Hop, Host\r\nX-Hop: 1\r\nTE: trailers\r\n"
+            node.all(Alone.get("/a%2Fb?q=%20",
+                    "Connection: close, X-Hop, Host\r\nX-Hop: 1\r\nTE: trailers\r\n"
                     + "X-Forwarded-For: 9.9.9.9\r\nForwarded: for=9.9.9.9\r\nProxy-Connection: x\r\n"
                     + "Upgrade: h2c\r\nCookie: a=b\r\n"));
             String request = first.nextRequest();
@@ -70,8 +73,10 @@
             assertEquals("a=b", FakePeer.header(request, "cookie"));
             assertEquals("1.1 vetchpost", FakePeer.header(request, "via"));
             assertEquals("127.0.0.1", FakePeer.header(request, "x-forwarded-for"), "not what a client says");
-            assertEquals("for=127.0.0.1;host=\"shop.example\";proto=http", FakePeer.header(request, "forwarded"));
-            for (String hop : List.of("x-hop", "te", "upgrade", "proxy-connection", "connection", "content-length",
+            assertEquals("for=127.0.0.1;host=\"shop.example\";proto=http", FakePeer.header(request,
+                    "forwarded"));
+            for (String hop : List.of("x-hop", "te", "upgrade", "proxy-connection", "connection",
+                    "content-length",
                     "transfer-encoding")) {
                 assertNull(FakePeer.header(request, hop), hop);
             }
@@ -158,7 +163,8 @@
 
     @Test
     void requestsSentAheadAreAnsweredInTheirOrder() throws Exception {
-        first.script((socket, request) -> FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
+        first.script((socket, request) -> FakePeer.write(socket,
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n"
                 + request.charAt(5) + "\n"));
         try (Alone node = node(); Socket client = node.connect()) {
             StringBuilder all = new StringBuilder();
@@ -184,7 +190,8 @@
         refused.put("POST / HTTP/1.1\r\n" + host + "Content-Length: +4\r\n\r\nabcd", 400);
         refused.put("POST / HTTP/1.1\r\n" + host + "Content-Length: -4\r\n\r\nabcd", 400);
         refused.put("POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", 501);
-        refused.put("POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
+        refused.put("POST / HTTP/1.1\r\n" + host
+                + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n"
                 + "0\r\n\r\n", 400);
         refused.put("POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: identity\r\n\r\n", 400);
         refused.put("POST / HTTP/1.0\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400);
@@ -242,7 +249,8 @@
         try (Alone node = new Alone(Alone.pool("attempts = 2\n", first, second))) {
             String answer = node.all("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n" + CLOSE + "\r\nx");
             assertTrue(answer.startsWith("HTTP/1.1 500 ") && answer.endsWith("my own page"), answer);
-            assertEquals(1, first.requests.size() + second.requests.size(), "it may have run, so it ran once");
+            assertEquals(1, first.requests.size() + second.requests.size(),
+                    "it may have run, so it ran once");
             first.requests.clear();
             second.requests.clear();
             answer = node.all(Alone.get("/", CLOSE));
@@ -289,7 +297,8 @@
         second.script(ours);
         try (Alone node = new Alone(Alone.pool("drain-header = \"X-Drain\"\n", first, second))) {
             while (first.requests.isEmpty()) {
-                assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("here"), "what it turns away goes elsewhere");
+                assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("here"),
+                        "what it turns away goes elsewhere");
             }
             // A turn and ten milliseconds later it is out: what comes after its second word is one too many.
             int before = first.requests.size();
--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -71,7 +71,8 @@
                 System.getProperty("java.class.path")).split(File.pathSeparator))
                 .filter(jar -> !jar.contains("slf4j")).collect(Collectors.joining(File.pathSeparator));
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c",
-                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx" + heap + " -cp \"$JARS\" "
+                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx" + heap
+                        + " -cp \"$JARS\" "
                 + "vetchpost.daemon.Main" + arguments);
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
         builder.environment().put("JAVA", java.toString());
--- a/src/test/java/vetchpost/daemon/ReloadTest.java
+++ b/src/test/java/vetchpost/daemon/ReloadTest.java
@@ -77,7 +77,8 @@
     @Test
     void aFileThatBreaksARuleChangesNothing() throws Exception {
         try (Alone node = new Alone(Alone.pool(other))) {
-            assertThrows(IllegalArgumentException.class, () -> node.reload(0, "[classes.all]\nrepeat = \"safe\"\n"
+            assertThrows(IllegalArgumentException.class, () -> node.reload(0,
+                    "[classes.all]\nrepeat = \"safe\"\n"
                     + "methods = [\"POST\"]\n" + Alone.pool(slow)));
             assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
         }
--- a/src/test/java/vetchpost/decision/ColdServerTest.java
+++ b/src/test/java/vetchpost/decision/ColdServerTest.java
@@ -55,7 +55,10 @@
         assertTrue(toCold <= 2, "sent to the cold server in 0.2 s: " + toCold);
     }
 
-    /** Where all servers are cold, a node that has never sent anything waits a moment, not until they are warm. */
+    /**
+     * Where all servers are cold, a node that has never sent anything waits a moment, not until they are
+     * warm.
+     */
     @Test
     void theFirstRequestsOfANodeWithOnlyColdServersAreSent() {
         for (long begins : new long[] {0, 1_700_000_000_000_000L}) {
--- a/src/test/java/vetchpost/sources/CheckPlanTest.java
+++ b/src/test/java/vetchpost/sources/CheckPlanTest.java
@@ -162,7 +162,8 @@
         }
         int perServer = asked.values().stream().mapToInt(Integer::intValue).max().orElse(0);
         assertEquals(servers, asked.size(), "each server has its watchers");
-        assertTrue(perServer <= 3 * (30 / 5 + 2), "a server was asked " + perServer + " times in 30 s by all");
+        assertTrue(perServer <= 3 * (30 / 5 + 2), "a server was asked " + perServer
+                + " times in 30 s by all");
         CheckPlan poor = new CheckPlan(rules(1, 0, 2), 1, now);
         poor.fleet(fleet(5_000), now);
         assertTrue(run(poor, 30 * S, ill()) <= 2 * 30 + 1, "the budget holds for any fleet");
--- a/src/test/java/vetchpost/sources/ComposerTest.java
+++ b/src/test/java/vetchpost/sources/ComposerTest.java
@@ -21,10 +21,12 @@
 class ComposerTest {
     private static final long S = 1_000_000;
     private static final long UNIX_MS = 1_700_000_000_000L;
-    private static final CheckRules CHECKS = new CheckRules("", "", 200, 399, 5 * S, S, 2, 3, 100, 3, 1, 0, 0.5);
+    private static final CheckRules CHECKS = new CheckRules("", "", 200, 399, 5 * S, S, 2, 3, 100, 3, 1, 0,
+            0.5);
     private long now = S;
     private final Membership fleet = new Membership(List.of(new Declared("a", Kind.FILE, "a", 0,
-            EnumSet.allOf(May.class), S, 0, 600 * S, List.of(), List.of())), new MergeRules(0.5, 10 * S, 4, 60 * S,
+            EnumSet.allOf(May.class), S, 0, 600 * S, List.of(), List.of())), new MergeRules(0.5, 10 * S, 4,
+                    60 * S,
             5 * S));
     private final CheckPlan checks = new CheckPlan(CHECKS, 1, now);
     private final Composer composer = new Composer(fleet, checks, 20 * S, UNIX_MS, now);
--- a/src/test/java/vetchpost/sources/MembershipTest.java
+++ b/src/test/java/vetchpost/sources/MembershipTest.java
@@ -178,7 +178,8 @@
         assertTrue(fleet.settle(now).get("127.0.0.1:2").draining());
         now += S;
         fleet.said(0, List.of(server(1)), now);
-        assertTrue(fleet.settle(now).get("127.0.0.1:2").draining(), "the word stands while the name names it");
+        assertTrue(fleet.settle(now).get("127.0.0.1:2").draining(),
+                "the word stands while the name names it");
         fleet.said(0, servers(1, 3), now + 1);
         now += 2;
         assertFalse(fleet.settle(now).get("127.0.0.1:2").draining(), "until its source takes it back");
