--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -162,16 +162,20 @@
                 n -> run(Plan.of(n)));
         long began = System.nanoTime();
         saidNs = began;
+        // On a terminal only: what is piped or kept in a file stays clean.
+        boolean person = System.console() != null;
         runs.run((done, of, failed) -> {
-            if (System.nanoTime() - saidNs > PROGRESS_NS || done == of) {
+            if (person && (System.nanoTime() - saidNs > PROGRESS_NS || done == of)) {
                 saidNs = System.nanoTime();
                 err.printf("\r%d of %d seeds, %d failed", done, of, failed);
                 err.flush();
             }
         });
         double wall = (System.nanoTime() - began) / 1e9;
-        err.println();
-        err.flush();
+        if (person) {
+            err.println();
+            err.flush();
+        }
         for (Map.Entry<Long, Result> each : runs.failed().entrySet()) {
             out.println(verdict(each.getValue()));
         }
--- a/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
+++ b/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.logging.Logger;
 import java.util.stream.LongStream;
 
 import vetchpost.simulation.fleet.FleetRun.Outcome;
@@ -29,6 +30,8 @@
             "2:bad arguments"},
         footer = {"", "Example:", "  fleet --seeds 2000 --svg notice.svg"})
 public final class FleetCommand implements Callable<Integer> {
+    /** A strong reference: a logger that nobody holds loses its settings. */
+    private static final Logger LOGGER = Logger.getLogger("vetchpost");
     private static final int MOST = 100_000;
     private static final int SHOWN = 10;
     private static final int HEIGHT = 220;
@@ -53,6 +56,8 @@
         if (seeds < 1 || seeds > MOST) {
             throw new ParameterException(spec.commandLine(), "--seeds is from 1 to " + MOST);
         }
+        // What each module says of its servers is of no use here.
+        LOGGER.setUseParentHandlers(false);
         PrintWriter out = spec.commandLine().getOut();
         out.printf("%-9s %10s %16s %14s %10s%n", "watch", "served", "wasted attempts", "time to notice",
                 "checks/s");
