Hold by tests what three switched-off behaviours did not fail

A long body of a safe class that was begun, classes that are new at a reload, and sparing no more than half are now held too; two that escape are second guards (a broken upload whose attempt was cancelled first, a file's stamp that differs anyway).

--- a/src/test/java/vetchpost/daemon/BodiesTest.java
+++ b/src/test/java/vetchpost/daemon/BodiesTest.java
@@ -167,10 +167,11 @@
             });
             int before = server.requests.size();
             try (Socket client = node.connect()) {
-                FakePeer.write(client, put(CLOSE, MANY) + "30d40\r\n");
+                // Of a class that may be repeated: it is the body that can't be had twice.
+                FakePeer.write(client, put(CLOSE, MANY).replace("PUT", "GET") + "30d40\r\n");
                 client.getOutputStream().write(new byte[150_000]);
                 FakePeer.soon(uploaded);
-                assertTrue(Alone.rest(client).startsWith("HTTP/1.1 502 "));
+                assertTrue(Alone.rest(client).startsWith("HTTP/1.1 503 "));
             }
             assertEquals(before + 1, server.requests.size(), "it may have run: nobody else is sent it");
         }
--- a/src/test/java/vetchpost/daemon/ReloadTest.java
+++ b/src/test/java/vetchpost/daemon/ReloadTest.java
@@ -84,6 +84,17 @@
         }
     }
 
+    /** The module can't be told of a class that it was not made with: it takes another one. */
+    @Test
+    void aClassThatIsNewIsKnownFromThenOn() throws Exception {
+        try (Alone node = new Alone(Alone.pool(other))) {
+            node.reload(0,
+                    "[classes.a]\nmethods = [\"GET\"]\n[classes.b]\nmethods = [\"POST\"]\n[classes.c]\n"
+                    + Alone.pool(other));
+            assertTrue(node.all("DELETE / HTTP/1.1\r\nHost: a\r\n" + CLOSE + "\r\n").endsWith("new"));
+        }
+    }
+
     @Test
     void routesAndBoundsOfTheNewFileHoldFromThenOn() throws Exception {
         try (Alone node = new Alone(Alone.pool(other))) {
--- a/src/test/java/vetchpost/sources/ComposerTest.java
+++ b/src/test/java/vetchpost/sources/ComposerTest.java
@@ -122,7 +122,7 @@
         tell();
         assertEquals(4, composer.whole().targets().size());
         long cold = composer.whole().targets().stream().filter(t -> t.bootMs() > 0).count();
-        assertTrue(cold <= 4, "of the eight that there were for a while");
+        assertTrue(cold <= 3, "half of the six that there were for a while");
         now += S;
         said(21, 22, 23, 24);
         tell();
