Answer what is in hand before the nonsense behind it

A part that could not be decoded cost the request before it its answer: it was looked at while that was still in hand. Its test fails without the line. A request that a reload's classes no longer know has its watch without them.

--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -254,8 +254,8 @@
             return true;
         }
         if (part.decoderResult().isFailure()) {
-            if (phase == Phase.HEAD && reply != null) {
-                return false; // An earlier request is answered first.
+            if (phase == Phase.WHOLE) {
+                return false; // The request before it is in hand, and answered first.
             }
             Throwable cause = part.decoderResult().cause();
             poll();
@@ -441,7 +441,7 @@
     }
 
     private void spoilt(BadRequest e) {
-        if (phase == Phase.REST || phase == Phase.WHOLE) {
+        if (phase == Phase.REST) {
             leaveWith(e);
         } else {
             reject(e);
--- a/src/main/java/vetchpost/web/WebFront.java
+++ b/src/main/java/vetchpost/web/WebFront.java
@@ -72,9 +72,9 @@
         return new WebExchange(this, sending);
     }
 
-    /** How long a request of a class may take, in microseconds. */
+    /** How long a request of a class may take, in microseconds; of one that a reload has taken out, no time. */
     long deadlineUs(int classIndex) {
-        return settings.classes.get(classIndex).deadlineUs();
+        return classIndex < settings.classes.size() ? settings.classes.get(classIndex).deadlineUs() : 0;
     }
 
     /** The class of a checked head. */
--- a/src/test/java/vetchpost/daemon/GatewayTest.java
+++ b/src/test/java/vetchpost/daemon/GatewayTest.java
@@ -11,6 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 
 import vetchpost.testing.FakePeer;
 import org.junit.jupiter.api.AfterEach;
@@ -178,6 +179,24 @@
         }
     }
 
+    /** Nonsense behind a request in hand costs the connection, and not the request its answer. */
+    @Test
+    void whatIsInHandIsAnsweredBeforeTheNonsenseBehindIt() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        first.script((socket, request) -> {
+            go.await();
+            FakePeer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello");
+        });
+        try (Alone node = node(); Socket client = node.connect()) {
+            FakePeer.write(client, Alone.get("/", "") + "no HTTP at all\r\n\r\n");
+            first.nextRequest();
+            go.countDown();
+            String all = Alone.rest(client);
+            assertTrue(all.startsWith("HTTP/1.1 200 ") && all.contains("hello"), all);
+            assertTrue(all.contains("HTTP/1.1 400 "), all);
+        }
+    }
+
     /** Each is answered with this status, and nothing that follows on its connection is looked at. */
     @Test
     void whatCanBeReadInTwoWaysIsNotRead() throws Exception {
