--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -26,6 +26,7 @@
 import vetchpost.routes.Violation;
 import vetchpost.routes.file.RouteFile;
 import vetchpost.conductor.Conductor;
+import vetchpost.standalone.Renewal;
 import vetchpost.standalone.Standalone;
 import vetchpost.standalone.StandaloneProver;
 import vetchpost.web.WebFront;
@@ -135,15 +136,15 @@
      * and the rules of merging stay as they were at the start. On the loop.
      */
     void reload(Loaded fresh) {
-        Standalone before = loaded.node();
         Standalone now = fresh.node();
-        if (!before.rules().equals(now.rules()) || !isSame(before, now)) {
+        Renewal renewal = Renewal.of(loaded.node(), now);
+        if (renewal.core()) {
             node.renew(config(now));
         }
         front.settle(now.settings(), now.classifier(), now.limits());
         policy(fresh, false);
         conductor.renew(now);
-        if (!before.listen().equals(now.listen())) {
+        if (renewal.address()) {
             node.listenAt(group, now.listen()).addListener(done -> LOG.log(Level.INFO, done.isSuccess()
                     ? "listening on {0}" : "can''t listen on {0}, and goes on where it did", now.listen()));
         }
@@ -151,21 +152,6 @@
         LOG.log(Level.INFO, "the file has been read again");
     }
 
-    /** Whether the module would be told the same. */
-    private static boolean isSame(Standalone a, Standalone b) {
-        return a.settings().classes.equals(b.settings().classes)
-                && a.settings().tenants.equals(b.settings().tenants)
-                && a.settings().maxAttempts == b.settings().maxAttempts
-                && a.settings().connectTimeoutUs == b.settings().connectTimeoutUs
-                && a.settings().drainGraceUs == b.settings().drainGraceUs
-                && a.settings().coldUs == b.settings().coldUs
-                && a.settings().coldFrom == b.settings().coldFrom
-                && a.settings().fallMultiple == b.settings().fallMultiple
-                && a.settings().secondCopies == b.settings().secondCopies
-                && a.settings().maxRetryAfterUs == b.settings().maxRetryAfterUs
-                && a.settings().nodes == b.settings().nodes;
-    }
-
     void close() {
         conductor.close();
         node.close();
--- a/src/main/java/vetchpost/web/WebFront.java
+++ b/src/main/java/vetchpost/web/WebFront.java
@@ -72,7 +72,9 @@
         return new WebExchange(this, sending);
     }
 
-    /** How long a request of a class may take, in microseconds; of one that a reload has taken out, no time. */
+    /**
+     * How long a request of a class may take, in microseconds; of one that a reload has taken out, no time.
+     */
     long deadlineUs(int classIndex) {
         return classIndex < settings.classes.size() ? settings.classes.get(classIndex).deadlineUs() : 0;
     }
--- a/src/test/java/vetchpost/standalone/StandaloneProverTest.java
+++ b/src/test/java/vetchpost/standalone/StandaloneProverTest.java
@@ -148,6 +148,19 @@
         }
     }
 
+    @Test
+    void aFileThatSaysTheSameAsksForNoNewCore() {
+        Standalone before = holds(NODE + POOL);
+        assertEquals(new Renewal(false, false), Renewal.of(before, holds(NODE + "idle = \"9s\"\n" + POOL)));
+        assertEquals(new Renewal(false, true), Renewal.of(before, holds(NODE.replace("8080", "8081")
+                + POOL)));
+        for (String other : List.of(POOL + "attempts = 2\n", POOL + "cold = \"1s\"\n", POOL
+                + "[classes.all]\n",
+                POOL + "[tenants.a]\nshare = 5\n")) {
+            assertEquals(new Renewal(true, false), Renewal.of(before, holds(NODE + other)), other);
+        }
+    }
+
     /** The page names every key that the prover knows, and none besides. */
     @Test
     void everyKeyIsOnThePages() throws IOException {
