--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -65,8 +65,18 @@
     @Option(names = "--print", description = "Prints the script of the seed and runs nothing.")
     private boolean print;
 
+    private final boolean watched;
     private long saidNs;
 
+    /** Tells of progress on a terminal only: what is piped or kept in a file stays clean. */
+    public SimulateCommand() {
+        this(System.console() != null);
+    }
+
+    SimulateCommand(boolean watched) {
+        this.watched = watched;
+    }
+
     @Override
     public Integer call() throws IOException, InterruptedException {
         int ways = (seeds == null ? 0 : 1) + (seed == null ? 0 : 1) + (script == null ? 0 : 1);
@@ -162,17 +172,15 @@
                 n -> run(Plan.of(n)));
         long began = System.nanoTime();
         saidNs = began;
-        // On a terminal only: what is piped or kept in a file stays clean.
-        boolean person = System.console() != null;
         runs.run((done, of, failed) -> {
-            if (person && (System.nanoTime() - saidNs > PROGRESS_NS || done == of)) {
+            if (watched && (System.nanoTime() - saidNs > PROGRESS_NS || done == of)) {
                 saidNs = System.nanoTime();
                 err.printf("\r%d of %d seeds, %d failed", done, of, failed);
                 err.flush();
             }
         });
         double wall = (System.nanoTime() - began) / 1e9;
-        if (person) {
+        if (watched) {
             err.println();
             err.flush();
         }
--- a/src/test/java/vetchpost/simulation/SimulateCommandTest.java
+++ b/src/test/java/vetchpost/simulation/SimulateCommandTest.java
@@ -29,7 +29,11 @@
     private final StringWriter err = new StringWriter();
 
     private int run(String... arguments) {
-        return new CommandLine(new SimulateCommand()).setOut(new PrintWriter(out))
+        return run(false, arguments);
+    }
+
+    private int run(boolean watched, String... arguments) {
+        return new CommandLine(new SimulateCommand(watched)).setOut(new PrintWriter(out))
                 .setErr(new PrintWriter(err)).execute(arguments);
     }
 
@@ -37,7 +41,14 @@
     void manySeedsEndInASummary() {
         assertEquals(0, run("--seeds", "1..6", "--jobs", "2"));
         assertTrue(out.toString().startsWith("6 seeds, 0 failed, "), out.toString());
-        assertTrue(err.toString().contains("6 of 6 seeds"), err.toString());
+        assertEquals("", err.toString());
+    }
+
+    @Test
+    void progressIsToldToWhoWatchesIt() {
+        assertEquals(0, run(true, "--seeds", "1..2", "--jobs", "1"));
+        assertTrue(out.toString().startsWith("2 seeds, 0 failed, "), out.toString());
+        assertTrue(err.toString().contains("2 of 2 seeds"), err.toString());
     }
 
     @Test
