Decide for clients in a core without I/O, the same in Java and TypeScript

Both cores choose the node, repeat by class, budget and window, wait out times to come back, bound calls in flight by refusals, leave out nodes that are silent and send second copies of safe calls. One suite of data plays 54 scenarios, 36 answers and six storms of up to 10,000 calls against both: the same 10,000 actions, digest for digest.

Tried first: calls in line sent until their deadline.

--- /dev/null
+++ b/clients/java/src/main/java/vetchpost/client/core/Answers.java
@@ -0,0 +1,82 @@
+package vetchpost.client.core;
+
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.time.ZonedDateTime;
+import java.time.format.DateTimeFormatter;
+import java.time.format.ResolverStyle;
+import java.util.Locale;
+import java.util.regex.Pattern;
+
+/** What an answer of a node means, by {@code docs/client-protocol.md}. */
+public final class Answers {
+    /** The field in which a node that stands alone says whether a request that it has not served has run. */
+    public static final String RAN = "Vetchpost-Ran";
+
+    private static final Pattern SECONDS = Pattern.compile("[0-9]{1,10}(\\.[0-9]{1,9})?");
+    private static final Pattern DATE = Pattern.compile(
+            "(Mon|Tue|Wed|Thu|Fri|Sat|Sun), [0-9]{2} [A-Z][a-z]{2} [0-9]{4} [0-9]{2}:[0-9]{2}:[0-9]{2} GMT");
+    private static final double MS = 1_000;
+
+    private Answers() { }
+
+    /**
+     * The ending of an attempt that was answered, whole.
+     *
+     * @param ran the field {@link #RAN}, or null
+     * @param retryAfter the field Retry-After, or null
+     * @param date the field Date, or null
+     * @param unixMs the time by this machine's wall clock, which counts where the node names none of its own
+     * @param plainRefusals whether every 429 and 503 is a node's refusal, as on the platform
+     */
+    public static Ending of(int status, String ran, String retryAfter, String date, long unixMs,
+            boolean plainRefusals) {
+        boolean never = "no".equals(ran);
+        if (status == 429 || status == 503) {
+            if (never || plainRefusals) {
+                return new Ending(Ending.Kind.REFUSED, true, retryAfterMs(retryAfter, date, unixMs),
+                        "refused with " + status);
+            }
+            return new Ending(Ending.Kind.MAY_HAVE_RUN, true, -1, "answered " + status);
+        }
+        if (never && (status >= 500 || status == 408)) {
+            return new Ending(Ending.Kind.NEVER_RAN, true, -1, "answered " + status);
+        }
+        if (status >= 500) {
+            return new Ending(Ending.Kind.MAY_HAVE_RUN, true, -1, "answered " + status);
+        }
+        return new Ending(Ending.Kind.SERVED, true, -1, "answered " + status);
+    }
+
+    /**
+     * The milliseconds that a Retry-After (RFC 9110, section 10.2.3; decimals too) asks for, rounded up; -1
+     * if it can't be read. A date counts from the node's own Date, so that no clock here makes it shorter.
+     */
+    public static long retryAfterMs(String retryAfter, String date, long unixMs) {
+        if (retryAfter == null) {
+            return -1;
+        }
+        if (SECONDS.matcher(retryAfter).matches()) {
+            return (long) Math.ceil(Double.parseDouble(retryAfter) * MS);
+        }
+        long then = dateMs(retryAfter);
+        if (then < 0) {
+            return -1;
+        }
+        long from = date == null ? -1 : dateMs(date);
+        return Math.max(0, then - (from < 0 ? unixMs : from));
+    }
+
+    private static long dateMs(String date) {
+        if (!DATE.matcher(date).matches()) {
+            return -1;
+        }
+        try {
+            Instant at = ZonedDateTime.parse(date, DateTimeFormatter.RFC_1123_DATE_TIME
+                    .withLocale(Locale.ROOT).withResolverStyle(ResolverStyle.STRICT)).toInstant();
+            return Math.max(-1, at.toEpochMilli());
+        } catch (DateTimeException e) {
+            return -1;
+        }
+    }
+}
--- /dev/null
+++ b/clients/java/src/test/java/vetchpost/client/core/Script.java
@@ -0,0 +1,121 @@
+package vetchpost.client.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.DoubleSupplier;
+
+import com.google.gson.Gson;
+import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+
+/** Plays the conformance suite's scenarios of decisions against this core, on their own clock. */
+final class Script {
+    private static final int SERVED_FROM = 1_000;
+
+    private Script() { }
+
+    /** The settings of a scenario: the defaults with what it names in their place. */
+    static Settings settings(JsonElement given) {
+        Gson gson = new Gson();
+        JsonObject all = gson.toJsonTree(Settings.DEFAULT).getAsJsonObject();
+        if (given != null) {
+            given.getAsJsonObject().entrySet().forEach(e -> {
+                if (!all.has(e.getKey())) {
+                    throw new AssertionError("there is no setting " + e.getKey());
+                }
+                all.add(e.getKey(), e.getValue());
+            });
+        }
+        return gson.fromJson(all, Settings.class);
+    }
+
+    /** An action in the suite's words. */
+    static String words(Action action) {
+        if (action instanceof Action.Send send) {
+            return "send " + send.call() + "." + send.attempt() + " " + send.node() + " " + send.remainingMs()
+                    + (send.resent() ? " resent" : "");
+        }
+        if (action instanceof Action.Abandon abandon) {
+            return "abandon " + abandon.call() + "." + abandon.attempt();
+        }
+        Outcome how = ((Action.End) action).outcome();
+        String kind = name(how.kind());
+        if (how.kind() == Outcome.Kind.SERVED) {
+            return "end " + action.call() + " " + kind + " by " + how.attempt();
+        }
+        return "end " + action.call() + " " + kind + (how.mayHaveRun() ? ", may have run" : "")
+                + (how.comeBackMs() < 0 ? "" : ", come back in " + how.comeBackMs());
+    }
+
+    static String name(Enum<?> kind) {
+        return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
+    }
+
+    private static DoubleSupplier draws(JsonObject scenario) {
+        JsonArray given = scenario.getAsJsonArray("draws");
+        int[] next = {0};
+        return () -> given == null ? 0 : given.get(next[0]++ % given.size()).getAsDouble();
+    }
+
+    /** Plays one; the first step that goes otherwise than written is an AssertionError. */
+    static void play(JsonObject scenario) {
+        Caller caller = new Caller(settings(scenario.get("settings")), draws(scenario));
+        for (JsonElement each : scenario.getAsJsonArray("steps")) {
+            JsonObject step = each.getAsJsonObject();
+            long at = step.get("at").getAsLong();
+            boolean due = step.has("wake") && !step.has("early");
+            long wake = caller.nextWakeMs();
+            if (due ? wake != at : wake < at) {
+                throw new AssertionError("wants to be woken at " + wake + ", before step " + step);
+            }
+            List<String> done = step(caller, step, at).stream().map(Script::words).toList();
+            List<String> then = new ArrayList<>();
+            if (step.has("then")) {
+                step.getAsJsonArray("then").forEach(t -> then.add(t.getAsString()));
+            }
+            if (!step.has("serve") && !done.equals(then)) {
+                throw new AssertionError("does " + done + " at step " + step);
+            }
+        }
+    }
+
+    private static List<Action> step(Caller caller, JsonObject step, long at) {
+        if (step.has("add")) {
+            return caller.addNode(at, step.get("add").getAsString(), step.has("local"));
+        }
+        if (step.has("remove")) {
+            return caller.removeNode(at, step.get("remove").getAsString());
+        }
+        if (step.has("begin")) {
+            return caller.begin(at, step.get("begin").getAsLong(),
+                    Repeat.valueOf(step.get("repeat").getAsString().toUpperCase(Locale.ROOT)),
+                    step.get("within").getAsLong(), step.has("window") ? step.get("window").getAsLong() : 0);
+        }
+        if (step.has("ended")) {
+            String[] which = step.get("ended").getAsString().split("\\.");
+            Ending.Kind how = Ending.Kind.valueOf(
+                    step.get("how").getAsString().toUpperCase(Locale.ROOT).replace('-', '_'));
+            boolean answered = step.has("answered") || how == Ending.Kind.SERVED || how == Ending.Kind.REFUSED;
+            return caller.ended(at, Long.parseLong(which[0]), Integer.parseInt(which[1]),
+                    new Ending(how, answered, step.has("retryAfter") ? step.get("retryAfter").getAsLong() : -1,
+                            "as told"));
+        }
+        if (step.has("cancel")) {
+            return caller.cancel(at, step.get("cancel").getAsLong());
+        }
+        if (step.has("serve")) {
+            int calls = step.get("serve").getAsInt();
+            for (int i = 0; i < calls; i++) {
+                caller.begin(at, SERVED_FROM + i, Repeat.UNSAFE, 60_000, 0);
+            }
+            long end = at + step.get("took").getAsLong();
+            for (int i = 0; i < calls && !step.has("leave"); i++) {
+                caller.ended(end, SERVED_FROM + i, 0, new Ending(Ending.Kind.SERVED, true, -1, "as told"));
+            }
+            return List.of();
+        }
+        return caller.wake(at);
+    }
+}
