Say in the node's own refusals and errors whether the request may have run

A client that gets 502 or 504 could not tell a dead server from a broken answer, and 503 may be a server's own: so it could repeat nothing. Standing alone, the node's own answers now carry Vetchpost-Ran: no or maybe; what a server says under that name ends at the node. The platform's answers are as before. X-Resent went on to servers, against docs/standalone.md: it ends at the node.

--- a/clients/java/src/main/java/vetchpost/client/core/Caller.java
+++ b/clients/java/src/main/java/vetchpost/client/core/Caller.java
@@ -342,7 +342,7 @@
         end(call, Outcome.failed(Outcome.Kind.LATE, ran, "its deadline has passed"));
     }
 
-    /** A node that lets an attempt's time pass has failed, unless that was too short for nearly all answers. */
+    /** A node that lets an attempt's time pass has failed, unless that was too short for nearly all. */
     private void silence(Call.Attempt attempt) {
         if (nowMs - attempt.sentMs >= latencies.quantile(NEARLY_ALL_PER_MILLE)) {
             attempt.node.failed(attempt.sentMs, nowMs);
--- a/clients/java/src/test/java/vetchpost/client/core/DecisionsTest.java
+++ b/clients/java/src/test/java/vetchpost/client/core/DecisionsTest.java
@@ -55,8 +55,9 @@
         for (JsonElement each : read(SUITE.resolve("answers.json"))) {
             JsonObject row = each.getAsJsonObject();
             tests.add(dynamicTest(row.toString(), () -> {
-                Ending got = Answers.of(row.get("status").getAsInt(), text(row, "ran"), text(row, "retryAfter"),
-                        text(row, "date"), row.has("unixMs") ? row.get("unixMs").getAsLong() : 0,
+                Ending got = Answers.of(row.get("status").getAsInt(), text(row, "ran"),
+                        text(row, "retryAfter"), text(row, "date"),
+                        row.has("unixMs") ? row.get("unixMs").getAsLong() : 0,
                         row.has("plain"));
                 assertEquals(row.get("then").getAsString(), Script.name(got.kind())
                         + (got.retryAfterMs() < 0 ? "" : " " + got.retryAfterMs()));
--- a/clients/java/src/test/java/vetchpost/client/core/Script.java
+++ b/clients/java/src/test/java/vetchpost/client/core/Script.java
@@ -97,10 +97,11 @@
             String[] which = step.get("ended").getAsString().split("\\.");
             Ending.Kind how = Ending.Kind.valueOf(
                     step.get("how").getAsString().toUpperCase(Locale.ROOT).replace('-', '_'));
-            boolean answered = step.has("answered") || how == Ending.Kind.SERVED || how == Ending.Kind.REFUSED;
+            boolean answered = step.has("answered") || how == Ending.Kind.SERVED
+                    || how == Ending.Kind.REFUSED;
+            long retryAfterMs = step.has("retryAfter") ? step.get("retryAfter").getAsLong() : -1;
             return caller.ended(at, Long.parseLong(which[0]), Integer.parseInt(which[1]),
-                    new Ending(how, answered, step.has("retryAfter") ? step.get("retryAfter").getAsLong() : -1,
-                            "as told"));
+                    new Ending(how, answered, retryAfterMs, "as told"));
         }
         if (step.has("cancel")) {
             return caller.cancel(at, step.get("cancel").getAsLong());
--- a/clients/java/src/test/java/vetchpost/client/core/Storm.java
+++ b/clients/java/src/test/java/vetchpost/client/core/Storm.java
@@ -14,7 +14,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 
-/** Plays the conformance suite's storms: thousands of calls against modelled nodes, the same in every language. */
+/** Plays the suite's storms: thousands of calls against modelled nodes, the same in every language. */
 final class Storm {
     private static final int BUCKET_MS = 100;
     private static final long RANGE = 1L << 32;
@@ -32,8 +32,8 @@
     private int resent;
     private int digest = 0x811c9dc5;
 
-    private record Due(long at, long number, long call, int attempt, String node, Ending.Kind how, long sentMs,
-            boolean serves) { }
+    private record Due(long at, long number, long call, int attempt, String node, Ending.Kind how,
+            long sentMs, boolean serves) { }
 
     private Storm(JsonObject script) {
         this.script = script;
--- a/src/main/java/vetchpost/core/ClientReply.java
+++ b/src/main/java/vetchpost/core/ClientReply.java
@@ -8,10 +8,13 @@
     /** A server's answer, passed on whole. */
     void served(Answer answer);
 
+    /** Told before it is refused or has failed if an attempt of it may have run; else it surely has not. */
+    default void mayHaveRun() { }
+
     /** Trying again is harmless, and best done after so many microseconds; 0 gives no advice. */
     void refused(long retryAfterUs);
 
-    /** No promise about its effect. */
+    /** No promise about its effect, unless {@link #mayHaveRun} was not told. */
     void failed(Failure why);
 
     /**
--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -75,6 +75,8 @@
         private boolean over;
         /** The answer is on its way to the client, bit by bit. */
         private boolean streaming;
+        /** An attempt has ended so that it may have run. */
+        private boolean mayHaveRun;
         /** The last error that a server has answered, for clients that are passed such on. */
         private Answer error;
 
@@ -127,6 +129,13 @@
             end();
         }
 
+        /** To be called before an answer of the node's own. */
+        void tellWhetherRun() {
+            if (mayHaveRun || out > 0) {
+                reply.mayHaveRun();
+            }
+        }
+
         void forgetIfDone() {
             if (over && out == 0) {
                 held.remove(id, this);
@@ -187,6 +196,7 @@
         public void ended(Result result, Answer answer) {
             over = true;
             request.out--;
+            request.mayHaveRun |= !result.neverRan;
             if (timer != null) {
                 timer.cancel();
             }
@@ -460,6 +470,7 @@
     private void fail(Held request, Failure why) {
         if (!request.over) {
             if (why != Failure.GIVEN_UP || !saysError(request)) {
+                request.tellWhetherRun();
                 request.reply.failed(why);
             }
             request.end();
@@ -513,6 +524,7 @@
         Held request = held.get(requestId);
         if (request != null && !request.over) {
             if (!saysError(request)) {
+                request.tellWhetherRun();
                 request.reply.refused(request.bounds.adviseUs(retryAfterUs));
             }
             request.end();
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -620,6 +620,7 @@
         }
         LOG.log(Level.ERROR, "a client's connection failed", cause);
         if (reply != null && !reply.isAnswered()) {
+            reply.mayHaveRun();
             reply.failed(Failure.INTERNAL);
         } else {
             close();
--- a/src/main/java/vetchpost/web/WebFront.java
+++ b/src/main/java/vetchpost/web/WebFront.java
@@ -27,6 +27,7 @@
 /** Both sides of a node that speaks with the open web: how clients' connections and exchanges are made. */
 public final class WebFront implements ClientLine.Opener, Exchange.Maker {
     private static final String REMAINING = "X-Remaining-Ms";
+    private static final String RESENT = "X-Resent";
     private static final int MOST_DIGITS = 9;
 
     private Settings settings;
@@ -104,9 +105,9 @@
         if (saidMs > 0) {
             remainingUs = Math.min(remainingUs, 1_000 * saidMs);
         }
-        boolean repeated = "1".equals(headers.get("X-Resent"));
+        boolean repeated = "1".equals(headers.get(RESENT));
         RequestCheck.dropHopByHop(headers);
-        headers.remove(HttpHeaderNames.EXPECT).remove(REMAINING).remove("X-Rehearsal");
+        headers.remove(HttpHeaderNames.EXPECT).remove(REMAINING).remove(RESENT).remove("X-Rehearsal");
         if (rest == null) {
             headers.remove(HttpHeaderNames.CONTENT_LENGTH);
             if (body.length > 0 || wantsLength(head)) {
--- a/src/main/java/vetchpost/web/WebReply.java
+++ b/src/main/java/vetchpost/web/WebReply.java
@@ -23,11 +23,14 @@
 
 /** The one answer to a request of the open web; of a body that is not held, the way of its bytes too. */
 final class WebReply implements ClientReply, BodySink {
+    private static final String RAN = "Vetchpost-Ran";
+
     private final WebConnection connection;
     private final WebFront front;
     private final boolean head;
     private final boolean old;
     private Runnable whenGone = () -> { };
+    private boolean mayHaveRun;
     private boolean answered;
     private boolean ended;
     private Answer streaming;
@@ -125,6 +128,8 @@
         if (answer.fields() != null) {
             answer.fields().forEach(headers::add);
         }
+        // The node's own word about requests that it has not served, and no server's.
+        headers.remove(RAN);
         headers.add(HttpHeaderNames.VIA, "1.1 " + front.limits().name());
         if (!headers.contains(HttpHeaderNames.DATE)) {
             headers.set(HttpHeaderNames.DATE, DateFormatter.format(new Date(front.unixMs())));
@@ -158,6 +163,11 @@
         return true;
     }
 
+    @Override
+    public void mayHaveRun() {
+        mayHaveRun = true;
+    }
+
     @Override
     public void refused(long retryAfterUs) {
         FullHttpResponse response = HttpReply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE,
@@ -166,12 +176,12 @@
             // Whole seconds (RFC 9110, section 10.2.3), and never less than what was advised.
             response.headers().set(HttpHeaderNames.RETRY_AFTER, (retryAfterUs + 999_999) / 1_000_000);
         }
-        say(response);
+        sayNotServed(response);
     }
 
     @Override
     public void failed(Failure why) {
-        say(switch (why) {
+        sayNotServed(switch (why) {
             case DUPLICATE_ID -> HttpReply.plain(HttpResponseStatus.CONFLICT,
                     "a request of this id is in hand");
             case GIVEN_UP -> HttpReply.plain(HttpResponseStatus.BAD_GATEWAY, "no server has answered");
@@ -184,6 +194,11 @@
         });
     }
 
+    private void sayNotServed(FullHttpResponse response) {
+        response.headers().set(RAN, mayHaveRun ? "maybe" : "no");
+        say(response);
+    }
+
     /** An answer of the node's own, unless there has been one. */
     void say(FullHttpResponse response) {
         if (answered) {
--- a/src/test/java/vetchpost/daemon/GatewayTest.java
+++ b/src/test/java/vetchpost/daemon/GatewayTest.java
@@ -84,6 +84,47 @@
         }
     }
 
+    @Test
+    void whatAClientTellsTheNodeEndsThere() throws Exception {
+        try (Alone node = node()) {
+            node.all(Alone.get("/", CLOSE + "X-Remaining-Ms: 5000\r\nX-Resent: 1\r\nX-Request-Id: 7\r\n"));
+            String request = first.nextRequest();
+            assertNull(FakePeer.header(request, "x-remaining-ms"));
+            assertNull(FakePeer.header(request, "x-resent"));
+            assertEquals("7", FakePeer.header(request, "x-request-id"));
+        }
+    }
+
+    @Test
+    void anAnswerOfTheNodesOwnSaysWhetherTheRequestMayHaveRun() throws Exception {
+        String post = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + CLOSE + "\r\n";
+        try (Alone node = new Alone(Alone.pool("attempts = 2\n", first))) {
+            first.script((socket, request) -> socket.close());
+            String answer = node.all(post);
+            assertTrue(answer.startsWith("HTTP/1.1 502 "), answer);
+            assertEquals("maybe", FakePeer.header(answer, "vetchpost-ran"), "it was written whole");
+            first.script(FakePeer.answer("500 Internal Server Error", "Vetchpost-Ran: no\r\n", "mine"));
+            answer = node.all(post);
+            assertTrue(answer.endsWith("mine"), answer);
+            assertNull(FakePeer.header(answer, "vetchpost-ran"), "a server has no say in it");
+            first.close();
+            answer = node.all(post);
+            assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+            assertEquals("no", FakePeer.header(answer, "vetchpost-ran"), answer);
+        }
+    }
+
+    @Test
+    void whatHasRunOutOfTimeAtAServerMayHaveRun() throws Exception {
+        try (Alone node = node()) {
+            first.script((socket, request) -> { });
+            String answer = node.all("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nX-Remaining-Ms: 200\r\n"
+                    + CLOSE + "\r\n");
+            assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
+            assertEquals("maybe", FakePeer.header(answer, "vetchpost-ran"), answer);
+        }
+    }
+
     @Test
     void whatClientsSayOfThemselvesIsBelievedOnlyWhereTheFileSaysSo() throws Exception {
         try (Alone node = new Alone("trust-forwarded = true\nforwarded = \"both\"\n" + Alone.pool(first))) {
