--- /dev/null
+++ b/clients/java/src/main/java/vetchpost/client/testing/package-info.java
@@ -0,0 +1,2 @@
+/** For the tests of those who use the client: a node that does what it is told. */
+package vetchpost.client.testing;
--- /dev/null
+++ b/clients/typescript/src/testing.ts
@@ -0,0 +1,148 @@
+import { createServer, type Server, type Socket } from "node:net";
+
+/** What is done with a request, and when: once its connection is there, its head read, or all of it. */
+export interface Play {
+  readonly moment: "accepted" | "head-read" | "read";
+  /** Does it. The connection is kept afterwards unless this ends it. */
+  on(socket: Socket): void;
+}
+
+/** A request as it came; names of fields in lower case. */
+export interface Seen {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string;
+}
+
+const MOST = 16 * 1024 * 1024;
+
+/** These bytes, and the connection stays open. */
+export function raw(text: string): Play {
+  return { moment: "read", on: (socket) => void socket.write(text) };
+}
+
+/** An answer. */
+export function answers(status: number, body = "", fields: readonly string[] = []): Play {
+  const head = [`HTTP/1.1 ${status} -`, `Content-Length: ${Buffer.byteLength(body)}`, ...fields];
+  return raw(`${head.join("\r\n")}\r\n\r\n${body}`);
+}
+
+/** A refusal as a node words it. */
+export function refuses(afterSeconds: number): Play {
+  return answers(503, "refused", ["Vetchpost-Ran: no", `Retry-After: ${afterSeconds}`]);
+}
+
+/** The connection is kept, and nothing comes. */
+export function silent(): Play {
+  return { moment: "read", on: () => undefined };
+}
+
+/** Closes the connection at this moment. */
+export function closes(moment: Play["moment"]): Play {
+  return { moment, on: (socket) => void socket.destroy() };
+}
+
+/** Begins an answer of this length, writes half of it and closes. */
+export function cuts(length: number): Play {
+  return { moment: "read", on: (socket) => void socket.end(
+    `HTTP/1.1 200 -\r\nContent-Length: ${length}\r\n\r\n${"x".repeat(Math.floor(length / 2))}`) };
+}
+
+/** Writes a beginning, and then the same again and again until its client has gone. */
+export function floods(beginning: string, again: string): Play {
+  const many = again.repeat(1 + Math.floor(8_192 / again.length));
+  return { moment: "read", on: (socket) => {
+    const more = (): void => {
+      while (!socket.destroyed && socket.write(many)) {
+        // Until its buffer is full.
+      }
+    };
+    socket.on("drain", more);
+    socket.write(beginning);
+    more();
+  } };
+}
+
+/**
+ * A node for tests: it listens on a port of its own on loopback and does with each request what comes next in its
+ * script; when that is at its end, the last thing again.
+ *
+ *     const node = await ScriptedNode.listen(refuses(2), answers(200, "done"));
+ *     const client = new Client({ nodes: [node.url] });
+ */
+export class ScriptedNode {
+  /** All requests so far that were read whole. */
+  readonly seen: Seen[] = [];
+  readonly #server: Server;
+  readonly #script: Play[];
+  readonly #sockets = new Set<Socket>();
+
+  private constructor(script: Play[]) {
+    this.#script = script;
+    this.#server = createServer((socket) => this.#serve(socket));
+  }
+
+  /** Listens. */
+  static async listen(...script: Play[]): Promise<ScriptedNode> {
+    const node = new ScriptedNode(script);
+    await new Promise<void>((done) => node.#server.listen(0, "127.0.0.1", done));
+    return node;
+  }
+
+  /** What a client calls it. */
+  get url(): string {
+    const address = this.#server.address();
+    return `http://127.0.0.1:${typeof address === "object" && address !== null ? address.port : 0}`;
+  }
+
+  /** Ends its connections and listens no more. */
+  async close(): Promise<void> {
+    this.#sockets.forEach((socket) => socket.destroy());
+    await new Promise((done) => this.#server.close(done));
+  }
+
+  #next(): Play {
+    return (this.#script.length > 1 ? this.#script.shift() : this.#script[0]) ?? silent();
+  }
+
+  #serve(socket: Socket): void {
+    this.#sockets.add(socket);
+    socket.setNoDelay(true);
+    socket.on("error", () => socket.destroy());
+    socket.on("close", () => this.#sockets.delete(socket));
+    if (this.#script[0]?.moment === "accepted") {
+      this.#next().on(socket);
+      return;
+    }
+    let text = "";
+    let told = false;
+    socket.on("data", (bytes) => {
+      text += bytes.toString("latin1");
+      for (let end = text.indexOf("\r\n\r\n"); end >= 0 && !socket.destroyed; end = text.indexOf("\r\n\r\n")) {
+        const [first = "", ...lines] = text.slice(0, end).split("\r\n");
+        const headers = Object.fromEntries(lines.map((line) => {
+          const colon = line.indexOf(":");
+          return [line.slice(0, colon).toLowerCase(), line.slice(colon + 1).trim()];
+        }));
+        if (!told && this.#script[0]?.moment === "head-read") {
+          told = true;
+          this.#next().on(socket);
+          return;
+        }
+        const length = Number(headers["content-length"] ?? 0);
+        if (text.length < end + 4 + length) {
+          break;
+        }
+        const body = Buffer.from(text.slice(end + 4, end + 4 + length), "latin1").toString("utf8");
+        text = text.slice(end + 4 + length);
+        const [method = "", target = ""] = first.split(" ");
+        this.seen.push({ method, target, headers, body });
+        this.#next().on(socket);
+      }
+      if (text.length > MOST) {
+        socket.destroy();
+      }
+    });
+  }
+}
