--- a/clients/java/src/main/java/vetchpost/client/core/Node.java
+++ b/clients/java/src/main/java/vetchpost/client/core/Node.java
@@ -132,7 +132,6 @@
     private void eject(long nowMs) {
         ejectedMs = ejectedMs == 0 ? settings.ejectMs() : Math.min(settings.ejectMostMs(), 2 * ejectedMs);
         ejectedUntilMs = nowMs + ejectedMs;
-        inRow = 0;
     }
 
     private long decayed(long nowMs) {
--- a/clients/typescript/src/core/nodes.ts
+++ b/clients/typescript/src/core/nodes.ts
@@ -134,7 +134,6 @@
     this.#ejectedMs = this.#ejectedMs === 0
       ? this.#settings.ejectMs : Math.min(this.#settings.ejectMostMs, 2 * this.#ejectedMs);
     this.#ejectedUntilMs = nowMs + this.#ejectedMs;
-    this.#inRow = 0;
   }
 
   #decayed(nowMs: number): number {
