--- a/clients/java/src/main/java/vetchpost/client/Client.java
+++ b/clients/java/src/main/java/vetchpost/client/Client.java
@@ -290,7 +290,8 @@
             }
         }
         long next = caller.nextWakeMs();
-        if (next != wakeMs) {
+        // One that comes too early only looks again; so a timer is not set anew for each call that ends.
+        if (next < wakeMs && !loop.isShutdown() || open.isEmpty()) {
             if (wake != null) {
                 wake.cancel(false);
             }
--- /dev/null
+++ b/clients/java/src/test/java/vetchpost/client/examples/PhotoImport.java
@@ -0,0 +1,84 @@
+package vetchpost.client.examples;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import vetchpost.client.Client;
+import vetchpost.client.Request;
+import vetchpost.client.Result;
+
+/**
+ * Imports a folder's photos: all uploads at once, as the client bounds what is in flight. Each has a key of
+ * its own, so that one whose end is unknown can be sent once more with that key and has its effect once.
+ */
+final class PhotoImport {
+    private static final Duration WINDOW = Duration.ofMinutes(10);
+
+    private final Client client;
+
+    PhotoImport(Client client) {
+        this.client = client;
+    }
+
+    /** What has become of one photo: "stored", or a reason. */
+    private record Done(String photo, String word) { }
+
+    /** Uploads all of them and says how many ended how. */
+    Map<String, Integer> run(Map<String, byte[]> photos) {
+        List<CompletableFuture<Done>> uploads = new ArrayList<>();
+        photos.forEach((name, bytes) -> uploads.add(upload(name, bytes, Optional.empty())));
+        Map<String, Integer> words = new TreeMap<>();
+        uploads.forEach(upload -> words.merge(upload.join().word(), 1, Integer::sum));
+        return words;
+    }
+
+    private CompletableFuture<Done> upload(String name, byte[] bytes, Optional<String> key) {
+        Request request = Request.keyed("POST", "/add-photo?name=" + name, WINDOW).body("image/jpeg", bytes)
+                .within(Duration.ofSeconds(20));
+        return client.send(key.map(request::key).orElse(request))
+                .thenCompose(result -> next(name, bytes, key.isPresent(), result));
+    }
+
+    private CompletableFuture<Done> next(String name, byte[] bytes, boolean again, Result result) {
+        return result.match(new Result.Cases<>() {
+            @Override
+            public CompletableFuture<Done> served(Result.Served served) {
+                return done(served.status() == 200 ? "stored" : "rejected with " + served.status());
+            }
+
+            @Override
+            public CompletableFuture<Done> refused(Result.Refused refused) {
+                return done("refused");
+            }
+
+            @Override
+            public CompletableFuture<Done> neverRan(Result.NeverRan failed) {
+                return done("no node");
+            }
+
+            @Override
+            public CompletableFuture<Done> mayHaveRun(Result.MayHaveRun failed) {
+                return again ? done("unknown, ask about " + failed.id()) : upload(name, bytes, failed.key());
+            }
+
+            @Override
+            public CompletableFuture<Done> cancelled(Result.Cancelled cancelled) {
+                return done("cancelled");
+            }
+
+            @Override
+            public CompletableFuture<Done> late(Result.Late late) {
+                return again ? done("late") : upload(name, bytes, late.key());
+            }
+
+            private CompletableFuture<Done> done(String word) {
+                return CompletableFuture.completedFuture(new Done(name, word));
+            }
+        });
+    }
+}
--- a/clients/typescript/src/client.ts
+++ b/clients/typescript/src/client.ts
@@ -59,9 +59,21 @@
 /** Timers of browsers and Node take no longer times. */
 const LONGEST_TIMER_MS = 2 ** 31 - 1;
 
-/** Random hexadecimal digits of so many bytes. */
+const HEX = Array.from({ length: 256 }, (_, b) => b.toString(16).padStart(2, "0"));
+const pool = new Uint8Array(4_096);
+let used = pool.length;
+
+/** Random hexadecimal digits of so many bytes; drawn many at a time, since each drawing is dear. */
 function random(bytes: number): string {
-  return Array.from(crypto.getRandomValues(new Uint8Array(bytes)), (b) => b.toString(16).padStart(2, "0")).join("");
+  if (used + bytes > pool.length) {
+    crypto.getRandomValues(pool);
+    used = 0;
+  }
+  let digits = "";
+  for (let i = 0; i < bytes; i++) {
+    digits += HEX[pool[used++]!]!;
+  }
+  return digits;
 }
 
 function checked(node: string): string {
@@ -195,16 +207,19 @@
       }
     }
     const next = this.#caller.nextWakeMs();
-    if (next !== this.#wakeMs) {
+    if (next < this.#wakeMs) {
+      // One that comes too early only looks again; so a timer is not set anew for each call that ends.
       clearTimeout(this.#timer);
       this.#wakeMs = next;
-      if (next !== Infinity) {
-        const wait = Math.ceil(next - (performance.now() - this.#began));
-        this.#timer = setTimeout(() => {
-          this.#wakeMs = Infinity;
-          this.#perform(this.#caller.wake(this.#nowMs()));
-        }, Math.min(LONGEST_TIMER_MS, Math.max(0, wait)));
-      }
+      const wait = Math.ceil(next - (performance.now() - this.#began));
+      this.#timer = setTimeout(() => {
+        this.#wakeMs = Infinity;
+        this.#perform(this.#caller.wake(this.#nowMs()));
+      }, Math.min(LONGEST_TIMER_MS, Math.max(0, wait)));
+    } else if (this.#open.size === 0) {
+      // Nothing keeps a process alive whose calls are over.
+      clearTimeout(this.#timer);
+      this.#wakeMs = Infinity;
     }
   }
 
