--- a/src/main/java/vetchpost/conductor/Conductor.java
+++ b/src/main/java/vetchpost/conductor/Conductor.java
@@ -25,6 +25,7 @@
 import vetchpost.sources.Declared;
 import vetchpost.sources.Membership;
 import vetchpost.sources.Named;
+import vetchpost.sources.Overrule;
 import vetchpost.standalone.Standalone;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -86,6 +87,23 @@
         }
     }
 
+    /** Has operators' words on servers count from now on; {@link #overruled} tells that they have changed. */
+    public void overrule(Overrule other) {
+        composer.overrule(other);
+    }
+
+    /** Operators' words have changed: they hold at once. */
+    public void overruled() {
+        if (node != null) {
+            settle();
+        }
+    }
+
+    /** The servers as they are but for what operators say of each. */
+    public List<Membership.Member> members() {
+        return composer.members();
+    }
+
     /** The servers that are known now. */
     public ServerList known() {
         return composer.whole();
--- /dev/null
+++ b/src/main/java/vetchpost/control/ControlProver.java
@@ -0,0 +1,57 @@
+package vetchpost.control;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import vetchpost.routes.Section;
+import vetchpost.routes.SectionReader;
+import vetchpost.routes.Violation;
+import vetchpost.routes.Violation.Rule;
+
+/** Reads the table {@code [control]} of an operator's file. */
+public final class ControlProver {
+    private static final List<String> KEYS = List.of("socket", "audit", "least-left", "most-shed");
+    /** What the systems' addresses of Unix sockets hold. */
+    private static final int MOST_PATH = 100;
+    private static final double LEAST_LEFT = 0.5;
+    private static final double MOST_SHED = 0.9;
+
+    private ControlProver() { }
+
+    /**
+     * What the table comes to.
+     *
+     * @param settings null if there is none, or any violation
+     */
+    public record Proof(ControlSettings settings, List<Violation> violations) { }
+
+    /** Looks at the table of a file that is its affair. */
+    public static Proof prove(List<Section> file) {
+        List<Violation> violations = new ArrayList<>();
+        ControlSettings settings = null;
+        for (Section section : file) {
+            if (section.kind() == Section.Kind.CONTROL) {
+                settings = settings(new SectionReader(section, "control", violations));
+            }
+        }
+        return new Proof(violations.isEmpty() ? settings : null, List.copyOf(violations));
+    }
+
+    private static ControlSettings settings(SectionReader table) {
+        table.knows(KEYS);
+        return new ControlSettings(path(table, "socket"), path(table, "audit"),
+                table.number("least-left", LEAST_LEFT, 0, 1), table.number("most-shed", MOST_SHED, 0, 1));
+    }
+
+    private static String path(SectionReader table, String key) {
+        String path = table.text(key, null);
+        if (!table.has(key)) {
+            table.violated(key, Rule.INCOMPLETE, "it does not say " + key, key + " = \"/run/vetchpost/" + key
+                    + "\"");
+        } else if (path != null && (path.length() > MOST_PATH || path.indexOf('\0') >= 0)) {
+            table.violated(key, Rule.OUT_OF_RANGE, key + " is a path of over " + MOST_PATH + " characters",
+                    "a shorter one");
+        }
+        return path;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/control/Effects.java
@@ -0,0 +1,66 @@
+package vetchpost.control;
+
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.BinaryOperator;
+
+/**
+ * What leases come to together. A drain or a freeze holds while any lease says so. Of several weights of a
+ * server, or shares of a class, that of the highest priority holds; of equal ones the more careful: the lower
+ * weight, the higher share.
+ */
+public final class Effects {
+    /** None. */
+    public static final Effects NONE = new Effects(java.util.List.of());
+    private static final int WHOLE = 1_000;
+
+    private final Set<String> drained = new HashSet<>();
+    private final Map<String, Change> weights = new HashMap<>();
+    private final Map<String, Change> shed = new HashMap<>();
+    private boolean frozen;
+
+    /** Of these, in whatever order. */
+    public Effects(Collection<Lease> leases) {
+        for (Lease lease : leases) {
+            Change change = lease.change();
+            switch (change.kind()) {
+                case DRAIN -> drained.add(change.subject());
+                case WEIGHT -> weights.merge(change.subject(), change,
+                        first((a, b) -> a.perMille() <= b.perMille() ? a : b));
+                case SHED -> shed.merge(change.subject(), change,
+                        first((a, b) -> a.perMille() >= b.perMille() ? a : b));
+                case FREEZE -> frozen = true;
+            }
+        }
+    }
+
+    private static BinaryOperator<Change> first(BinaryOperator<Change> ofEqual) {
+        return (a, b) -> a.priority() == b.priority() ? ofEqual.apply(a, b)
+                : a.priority() > b.priority() ? a : b;
+    }
+
+    /** Whether this server takes nothing new. */
+    public boolean drains(String server) {
+        return drained.contains(server);
+    }
+
+    /** A server's weight, of the one that its sources tell. */
+    public double weight(String server, double said) {
+        Change change = weights.get(server);
+        return change == null ? said : said * change.perMille() / WHOLE;
+    }
+
+    /** How many thousandths of a class's requests are refused on arrival. */
+    public int shed(String cls) {
+        Change change = shed.get(cls);
+        return change == null ? 0 : change.perMille();
+    }
+
+    /** Whether the list of servers is held as it is. */
+    public boolean isFrozen() {
+        return frozen;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/control/Entries.java
@@ -0,0 +1,69 @@
+package vetchpost.control;
+
+import java.util.Locale;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
+import com.google.gson.JsonParser;
+
+import vetchpost.control.Trail.Entry;
+import vetchpost.control.Trail.Event;
+
+/** A trail's entries as JSON, the text behind each line's hash. */
+public final class Entries {
+    private Entries() { }
+
+    /** An entry's text, without a line's end. */
+    public static String text(Entry entry) {
+        JsonObject json = new JsonObject();
+        json.addProperty("event", entry.event().name().toLowerCase(Locale.ROOT));
+        json.addProperty("number", entry.number());
+        json.addProperty("at", entry.unixMs());
+        json.addProperty("by", entry.by());
+        json.addProperty("note", entry.note());
+        if (entry.change() != null) {
+            json.add("change", change(entry.change()));
+        }
+        return json.toString();
+    }
+
+    /** A change with all of its fields. */
+    static JsonObject change(Change change) {
+        JsonObject json = new JsonObject();
+        json.addProperty("kind", change.kind().word());
+        json.addProperty("subject", change.subject());
+        json.addProperty("per-mille", change.perMille());
+        json.addProperty("for-ms", change.lengthMs());
+        json.addProperty("owner", change.owner());
+        json.addProperty("reason", change.reason());
+        json.addProperty("priority", change.priority());
+        json.addProperty("key", change.key());
+        json.addProperty("anyway", change.anyway());
+        return json;
+    }
+
+    /** Reads an entry; throws IllegalArgumentException if the text is none. */
+    public static Entry read(String text) {
+        try {
+            JsonObject json = JsonParser.parseString(text).getAsJsonObject();
+            Change change = null;
+            if (json.has("change")) {
+                JsonObject of = json.getAsJsonObject("change");
+                change = new Change(Kind.valueOf(word(of, "kind").toUpperCase(Locale.ROOT)),
+                        word(of, "subject"), of.get("per-mille").getAsInt(), of.get("for-ms").getAsLong(),
+                        word(of, "owner"), word(of, "reason"), of.get("priority").getAsInt(),
+                        word(of, "key"), of.get("anyway").getAsBoolean());
+            }
+            return new Entry(Event.valueOf(word(json, "event").toUpperCase(Locale.ROOT)),
+                    json.get("number").getAsLong(), json.get("at").getAsLong(), change, word(json, "by"),
+                    word(json, "note"));
+        } catch (JsonParseException | IllegalStateException | NullPointerException
+                | UnsupportedOperationException e) {
+            throw new IllegalArgumentException("no entry: " + e.getMessage(), e);
+        }
+    }
+
+    private static String word(JsonObject json, String key) {
+        return json.get(key).getAsString();
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/control/Leases.java
@@ -0,0 +1,117 @@
+package vetchpost.control;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The overrides that hold, and how each came and went. Bounded; each ends by itself at its time by the clock
+ * of the calls, which nobody can set.
+ */
+public final class Leases {
+    /** More are refused. */
+    public static final int MOST = 1_000;
+    private static final int MOST_KEYS = 10_000;
+    private static final long US_PER_MS = 1_000;
+
+    private final Judge judge;
+    private final Map<Long, Lease> held = new LinkedHashMap<>();
+    /** Of what commands came to, by their keys, so that a repeated one acts once. */
+    private final Map<String, Long> keys = new LinkedHashMap<>();
+    private Effects effects = Effects.NONE;
+    private long lastNumber;
+
+    /**
+     * What became of a wish.
+     *
+     * @param lease null if it was refused
+     * @param against what was said against it, also where it was carried out anyway
+     * @param repeated whether it had been carried out before, by its key
+     */
+    public record Verdict(Lease lease, List<String> against, boolean repeated) { }
+
+    /** None so far. */
+    public Leases(Judge judge) {
+        this.judge = judge;
+    }
+
+    /** What a change would come to; nothing is changed by asking. */
+    public Verdict judge(Change change, Situation now, long nowUs, long unixMs) {
+        expire(nowUs);
+        Long known = keys.get(change.key());
+        if (known != null) {
+            Lease lease = held.get(known);
+            return new Verdict(lease, lease != null ? List.of() : List.of("override " + known
+                    + ", which this command made, has ended"), true);
+        }
+        if (held.size() >= MOST) {
+            return new Verdict(null, List.of(MOST + " overrides hold already, and more are not kept"), false);
+        }
+        List<String> against = judge.against(change, held.values(), now);
+        if (!against.isEmpty() && !change.anyway()) {
+            return new Verdict(null, against, false);
+        }
+        return new Verdict(new Lease(lastNumber + 1, change, unixMs, nowUs + change.lengthMs() * US_PER_MS),
+                against, false);
+    }
+
+    /** Has numbers go on behind this one, which was given before a restart. */
+    public void goOnAfter(long number) {
+        lastNumber = Math.max(lastNumber, number);
+    }
+
+    /** Has a lease hold that has been judged, or that held before a restart. */
+    public void grant(Lease lease) {
+        lastNumber = Math.max(lastNumber, lease.number());
+        held.put(lease.number(), lease);
+        keys.put(lease.change().key(), lease.number());
+        if (keys.size() > MOST_KEYS) {
+            keys.remove(keys.keySet().iterator().next());
+        }
+        effects = new Effects(held.values());
+    }
+
+    /** Whether there is one of this number. */
+    public boolean holds(long number) {
+        return held.containsKey(number);
+    }
+
+    /** Ends one before its time; false if there is none of this number. */
+    public boolean undo(long number) {
+        boolean there = held.remove(number) != null;
+        effects = there ? new Effects(held.values()) : effects;
+        return there;
+    }
+
+    /** Ends those whose time has come, and says which. */
+    public List<Lease> expire(long nowUs) {
+        List<Lease> ended = new ArrayList<>();
+        for (Lease lease : held.values()) {
+            if (lease.endUs() <= nowUs) {
+                ended.add(lease);
+            }
+        }
+        if (!ended.isEmpty()) {
+            ended.forEach(lease -> held.remove(lease.number()));
+            effects = new Effects(held.values());
+        }
+        return ended;
+    }
+
+    /** When the next ends by itself; the largest number for never. */
+    public long nextUs() {
+        return held.values().stream().mapToLong(Lease::endUs).min().orElse(Long.MAX_VALUE);
+    }
+
+    /** What they come to. */
+    public Effects effects() {
+        return effects;
+    }
+
+    /** All that hold, the oldest first. */
+    public Collection<Lease> all() {
+        return List.copyOf(held.values());
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/control/Shedder.java
@@ -0,0 +1,51 @@
+package vetchpost.control;
+
+import java.util.List;
+import java.util.function.Supplier;
+
+import vetchpost.core.ClientRequest;
+import vetchpost.core.RouteBounds;
+import vetchpost.core.RoutePolicy;
+
+/** Routes of which a share of a class's requests is refused on arrival: evenly, not by chance. */
+public final class Shedder implements RoutePolicy {
+    private static final int WHOLE = 1_000;
+    private static final RouteBounds FULL = new RouteBounds() {
+        @Override
+        public boolean enter() {
+            return false;
+        }
+    };
+
+    private final RoutePolicy routes;
+    private final List<String> classes;
+    private final Supplier<Effects> effects;
+    private final int[] owed;
+
+    /**
+     * Before these routes.
+     *
+     * @param classes the settings' names of classes, in their order
+     * @param effects what holds now
+     */
+    public Shedder(RoutePolicy routes, List<String> classes, Supplier<Effects> effects) {
+        this.routes = routes;
+        this.classes = classes;
+        this.effects = effects;
+        owed = new int[classes.size()];
+    }
+
+    @Override
+    public RouteBounds boundsOf(ClientRequest request) {
+        int cls = request.classIndex();
+        int perMille = effects.get().shed(classes.get(cls));
+        if (perMille > 0) {
+            owed[cls] += perMille;
+            if (owed[cls] >= WHOLE) {
+                owed[cls] -= WHOLE;
+                return FULL;
+            }
+        }
+        return routes.boundsOf(request);
+    }
+}
--- a/src/main/java/vetchpost/daemon/CheckCommand.java
+++ b/src/main/java/vetchpost/daemon/CheckCommand.java
@@ -10,6 +10,7 @@
 import java.util.stream.Collectors;
 
 import vetchpost.admission.AdmissionProver;
+import vetchpost.control.ControlProver;
 import vetchpost.config.Config;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.recovery.RecoveryProver;
@@ -77,6 +78,7 @@
         violations.addAll(proof.violations());
         violations.addAll(RecoveryProver.prove(read.sections()).violations());
         violations.addAll(AdmissionProver.prove(read.sections(), settings).violations());
+        violations.addAll(ControlProver.prove(read.sections()).violations());
         PrintWriter out = spec.commandLine().getOut();
         if (!violations.isEmpty()) {
             return refused(violations);
--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -16,7 +16,7 @@
 final class Commands implements Runnable {
     private final CommandLine line = new CommandLine(this).addSubcommand(new InitCommand())
             .addSubcommand(new CheckCommand()).addSubcommand(new ServeCommand())
-            .addSubcommand(new StateCommand())
+            .addSubcommand(new StateCommand()).addSubcommand(new CtlCommand())
             .addSubcommand(new SimulateCommand()).addSubcommand(new CrowdCommand())
             .addSubcommand(new FleetCommand())
             .addSubcommand(new TryCommand());
--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -7,12 +7,16 @@
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.stream.Collectors;
 
 import vetchpost.admission.AdmissionProver;
 import vetchpost.admission.AdmissionSettings;
 import vetchpost.config.Config;
 import vetchpost.config.Descriptors;
+import vetchpost.control.ControlProver;
+import vetchpost.control.ControlSettings;
+import vetchpost.core.RoutePolicy;
 import vetchpost.core.Subset;
 import vetchpost.net.Network;
 import vetchpost.node.Fronts;
@@ -43,11 +47,14 @@
     private final WebFront front;
     private final Conductor conductor;
     private final Node node;
+    /** Null where the file has no such table. */
+    private final ControlLoader control;
     private final long seed;
     private Loaded loaded;
 
     /** What a file comes to, all of it proved. */
-    record Loaded(Standalone node, Proof routes, RecoverySettings recovery, AdmissionSettings admission) { }
+    record Loaded(Standalone node, Proof routes, RecoverySettings recovery, AdmissionSettings admission,
+            ControlSettings control) { }
 
     /** Not started; on the loop. Throws IllegalArgumentException if the node can't be made. */
     StandaloneNode(Loaded file, EventLoopGroup group, EventLoop loop) {
@@ -61,6 +68,9 @@
         node = new Node(config(alone), loop, Network.SYSTEM, System.currentTimeMillis(), Seams.NONE,
                 new Fronts(front, front));
         node.witness(conductor);
+        control = file.control() == null ? null : new ControlLoader(file.control(), loop, conductor,
+                () -> Map.of("requests", (long) node.inHand().requests(), "bytes", node.inHand().bytes(),
+                        "sockets", (long) node.inHand().sockets()));
         policy(file, true);
         if (file.recovery() != null) {
             node.companion(RecoveryLoader.load(file.recovery(), alone.settings(), loop, group));
@@ -73,7 +83,9 @@
     }
 
     private void policy(Loaded file, boolean starting) {
-        node.routes(new FileRoutePolicy(file.routes().table(), file.node().settings(), seed));
+        RoutePolicy routes = new FileRoutePolicy(file.routes().table(), file.node().settings(), seed);
+        node.routes(control == null ? routes : control.before(routes,
+                file.node().settings().classes.stream().map(c -> c.name()).toList()));
         if (starting && file.routes().part() != null) {
             node.subset(new Subset(file.routes().part().node(), file.node().settings().nodes,
                     file.routes().part().subset(), false));
@@ -106,7 +118,9 @@
             violations.addAll(routes.violations());
             violations.addAll(recovery.violations());
             violations.addAll(admission.violations());
-            loaded = new Loaded(node, routes, recovery.settings(), admission.settings());
+            ControlProver.Proof control = ControlProver.prove(file.sections());
+            violations.addAll(control.violations());
+            loaded = new Loaded(node, routes, recovery.settings(), admission.settings(), control.settings());
         }
         if (!violations.isEmpty()) {
             throw new IllegalArgumentException("the file is refused:\n" + violations.stream()
@@ -121,6 +135,9 @@
 
     /** Opens the client side, and asks the sources from then on. */
     ChannelFuture start(int rehearsed, Runnable whenReady) {
+        if (control != null) {
+            control.open(group);
+        }
         ChannelFuture binding = node.start(group, rehearsed, whenReady);
         binding.addListener(done -> {
             if (done.isSuccess()) {
@@ -153,6 +170,9 @@
     }
 
     void close() {
+        if (control != null) {
+            control.close();
+        }
         conductor.close();
         node.close();
     }
--- a/src/main/java/vetchpost/routes/file/RouteFile.java
+++ b/src/main/java/vetchpost/routes/file/RouteFile.java
@@ -30,7 +30,7 @@
     private static final long MOST_BYTES = 32L << 20;
     private static final Map<String, Kind> TABLES = Map.of("defaults", Kind.DEFAULTS, "fleet", Kind.FLEET,
             "state", Kind.STATE, "handover", Kind.HANDOVER, "admission", Kind.ADMISSION, "node", Kind.NODE,
-            "pool", Kind.POOL, "checks", Kind.CHECKS);
+            "pool", Kind.POOL, "checks", Kind.CHECKS, "control", Kind.CONTROL);
     /** Tables of tables, each with a name. */
     private static final Map<String, Kind> NAMED = Map.of("class", Kind.CLASS, "classes", Kind.REQUESTS,
             "tenants", Kind.TENANT);
--- a/src/main/java/vetchpost/sources/Composer.java
+++ b/src/main/java/vetchpost/sources/Composer.java
@@ -35,6 +35,11 @@
     private final Map<String, Start> starts = new HashMap<>();
     private final long coldUs;
     private Set<String> out = new HashSet<>();
+    /** The list as sources and a hold make it. */
+    private Map<String, Member> last = Map.of();
+    private Overrule overrule = Overrule.NONE;
+    /** The list as it was when it began to be held; null while it is not. */
+    private Map<String, Member> held;
 
     /** Since when it is there, and whether it is spared for that. */
     private record Start(long sinceUs, boolean isSpared) { }
@@ -54,6 +59,17 @@
         originUs = nowUs;
     }
 
+    /** Has operators' words count from now on. */
+    public void overrule(Overrule other) {
+        overrule = other;
+    }
+
+    /** The servers as they are but for what operators say of each. */
+    public List<Member> members() {
+        return last.values().stream().map(m -> !out.contains(m.id()) ? m
+                : new Member(m.id(), m.address(), true, m.weight(), m.zone(), m.sinceUs())).toList();
+    }
+
     /** A server says of itself that it takes no new requests. */
     public void drains(String id, long nowUs) {
         if (told.containsKey(id)) {
@@ -63,7 +79,8 @@
 
     /** What has changed since it was asked last, to be told to a node; empty if nothing has. */
     public List<ServerList.Target> changes(long nowUs) {
-        Map<String, Member> members = membership.settle(nowUs);
+        Map<String, Member> members = hold(membership.settle(nowUs));
+        last = members;
         polite.values().removeIf(until -> until <= nowUs);
         Set<String> outNow = new HashSet<>(polite.keySet());
         if (checks != null) {
@@ -106,11 +123,34 @@
         return changes;
     }
 
+    /**
+     * The list as it was, while it is held: who has come waits, who is left out stays, who has gone by a
+     * source's own word drains, and who drains does.
+     */
+    private Map<String, Member> hold(Map<String, Member> now) {
+        if (!overrule.holdsList()) {
+            held = null;
+            return now;
+        }
+        if (held == null) {
+            held = now;
+        }
+        Map<String, Member> all = new LinkedHashMap<>();
+        held.forEach((id, old) -> {
+            Member fresh = now.getOrDefault(id, old);
+            boolean drains = fresh.draining() || membership.isSaidGone(id);
+            all.put(id, new Member(id, fresh.address(), drains, fresh.weight(), fresh.zone(),
+                    fresh.sinceUs()));
+        });
+        return all;
+    }
+
     private ServerList.Target target(Member member) {
-        boolean drains = member.draining() || out.contains(member.id());
+        boolean drains = member.draining() || out.contains(member.id()) || overrule.drains(member.id());
         Start start = starts.get(member.id());
         return new ServerList.Target(member.id(), member.address(), member.zone(), 0,
-                drains ? ServerState.DRAINING : ServerState.READY, member.weight(),
+                drains ? ServerState.DRAINING : ServerState.READY,
+                overrule.weight(member.id(), member.weight()),
                 start.isSpared() ? unixOriginMs + (start.sinceUs() - originUs) / 1_000 : 0);
     }
 
--- a/src/main/java/vetchpost/sources/Membership.java
+++ b/src/main/java/vetchpost/sources/Membership.java
@@ -3,9 +3,11 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 import vetchpost.sources.Declared.May;
 import vetchpost.sources.Named.Word;
@@ -39,6 +41,8 @@
      * When those went that have gone lately because nobody names them; one that comes and goes counts once.
      */
     private final Map<String, Long> goneUs = new HashMap<>();
+    /** Of those that were named last, which some source says have gone. */
+    private final Set<String> gone = new HashSet<>();
     private int heldBack;
     private int flapping;
     private boolean begun;
@@ -96,6 +100,11 @@
         begun = true;
     }
 
+    /** Whether a source that may remove says of this server that it has gone. */
+    public boolean isSaidGone(String id) {
+        return gone.contains(id);
+    }
+
     /** How many stay though nobody names them any more. */
     public int heldBack() {
         return heldBack;
@@ -152,6 +161,8 @@
         Map<String, Candidate> candidates = candidates();
         heldBack = 0;
         flapping = 0;
+        gone.clear();
+        candidates.values().stream().filter(c -> c.gone).forEach(c -> gone.add(c.id));
         List<String> unnamed = new ArrayList<>();
         for (String id : members.keySet()) {
             Candidate candidate = candidates.get(id);
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -117,13 +117,23 @@
                     "vetchpost.sources", "vetchpost.standalone", "vetchpost.core..", "vetchpost.decision..",
                     "vetchpost.routes");
 
+    /** What operators may do, and what it comes to, is decided without a clock, a disk or a socket. */
+    @ArchTest
+    static final ArchRule CONTROL_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
+            .that().resideInAPackage("vetchpost.control").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.util.regex",
+                    "java.util.stream", "java.nio.charset", "vetchpost.control", "vetchpost.core..",
+                    "vetchpost.decision..", "vetchpost.routes", "com.google.gson",
+                    "org.apache.commons.codec.digest");
+
     /** The platform's node loads nothing of what runs a node without a platform. */
     @ArchTest
     static final ArchRule THE_PLATFORMS_NODE_DOES_NOT_KNOW_THE_OTHER = noClasses()
             .that().resideInAnyPackage("vetchpost.node..", "vetchpost.core..", "vetchpost.http..",
                     "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..", "vetchpost.net..")
             .should().dependOnClassesThat().resideInAnyPackage("vetchpost.web..", "vetchpost.sources..",
-                    "vetchpost.standalone..", "vetchpost.conductor..");
+                    "vetchpost.standalone..", "vetchpost.conductor..", "vetchpost.control..",
+                    "vetchpost.operations..");
 
     /** A node that nothing is kept of loads nothing of this, but the name of an interface. */
     @ArchTest
--- a/src/test/java/vetchpost/daemon/GatewayTest.java
+++ b/src/test/java/vetchpost/daemon/GatewayTest.java
@@ -118,8 +118,8 @@
     void whatHasRunOutOfTimeAtAServerMayHaveRun() throws Exception {
         try (Alone node = node()) {
             first.script((socket, request) -> { });
-            String answer = node.all("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\nX-Remaining-Ms: 200\r\n"
-                    + CLOSE + "\r\n");
+            String answer = node.all("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n"
+                    + "X-Remaining-Ms: 200\r\n" + CLOSE + "\r\n");
             assertTrue(answer.startsWith("HTTP/1.1 50"), answer);
             assertEquals("maybe", FakePeer.header(answer, "vetchpost-ran"), answer);
         }
