--- a/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
+++ b/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
@@ -45,6 +45,10 @@
             description = "Plays seeds 1 to N (${DEFAULT-VALUE}).")
     private int seeds;
 
+    @Option(names = "--operators", description = {"Operators drain, weigh and freeze as chance has it",
+        "(docs/control.md)."})
+    private boolean operators;
+
     @Option(names = "--svg", paramLabel = "FILE", description = "A picture of the comparison.")
     private Path svg;
 
@@ -65,7 +69,7 @@
         List<String> broken = new ArrayList<>();
         for (Watch watch : Watch.values()) {
             List<Outcome> outcomes = LongStream.rangeClosed(1, seeds).parallel()
-                    .mapToObj(seed -> FleetRun.play(seed, watch)).toList();
+                    .mapToObj(seed -> FleetRun.play(seed, watch, operators)).toList();
             for (int i = 0; i < outcomes.size(); i++) {
                 for (String each : outcomes.get(i).broken()) {
                     broken.add("seed " + (i + 1) + ", " + watch.name().toLowerCase(Locale.ROOT) + ": "
--- a/src/main/java/vetchpost/simulation/fleet/FleetRun.java
+++ b/src/main/java/vetchpost/simulation/fleet/FleetRun.java
@@ -94,6 +94,8 @@
     private final CheckPlan checks;
     private final Composer composer;
     private final Watch watch;
+    /** Null where there are none. */
+    private final Operators operators;
     private final List<Declared> declared = new ArrayList<>();
     private final List<String> broken = new ArrayList<>();
     private final Map<String, Integer> ran = new HashMap<>();
@@ -110,8 +112,9 @@
     private int attempts;
     private int wasted;
 
-    private FleetRun(long seed, Watch watch) {
+    private FleetRun(long seed, Watch watch, boolean operated) {
         this.watch = watch;
+        operators = operated ? new Operators(seed) : null;
         chance = new SplittableRandom(seed * 0x9E3779B97F4A7C15L + 29);
         boxChance = chance.split();
         truth = new Truth(chance.split(), QUIET_US);
@@ -122,13 +125,21 @@
         membership = new Membership(declared, MERGE);
         checks = watch == Watch.REQUESTS ? null : new CheckPlan(CHECKS, seed, clock.nowUs());
         composer = new Composer(membership, checks, settings.coldUs, START_US / 1_000, START_US);
+        if (operated) {
+            composer.overrule(operators);
+        }
         Arrays.fill(forbiddenUs, -1);
         Arrays.fill(firstWastedUs, -1);
     }
 
     /** Plays a seed. */
     public static Outcome play(long seed, Watch watch) {
-        return new FleetRun(seed, watch).run();
+        return play(seed, watch, false);
+    }
+
+    /** Plays a seed, with operators who do as chance has it or without. */
+    public static Outcome play(long seed, Watch watch, boolean operated) {
+        return new FleetRun(seed, watch, operated).run();
     }
 
     private static Settings settings() {
@@ -199,6 +210,9 @@
             });
         }
         tick();
+        if (operators != null) {
+            operate();
+        }
         arrive();
         clock.runUntil(START_US + END_US + 2 * S);
         for (int box = 0; box < Truth.BOXES; box++) {
@@ -207,6 +221,9 @@
                 broken.add("box " + box + " is well and was not served to since " + servedUs[box] / S + " s");
             }
         }
+        if (operators != null && operators.held() > 0) {
+            broken.add("overrides: " + operators.held() + " hold past their time");
+        }
         if (node.held() > 0) {
             broken.add(node.held() + " requests are still held");
         }
@@ -268,7 +285,23 @@
         });
     }
 
+    private void operate() {
+        clock.at(clock.nowUs() + S / 2, () -> {
+            if (at() < QUIET_US) {
+                String wrong = operators.turn(composer.members(), at());
+                if (!wrong.isEmpty()) {
+                    broken.add(wrong);
+                }
+                settle();
+                operate();
+            }
+        });
+    }
+
     private void settle() {
+        if (operators != null) {
+            operators.expire(at());
+        }
         List<ServerList.Target> changes = composer.changes(clock.nowUs());
         if (!changes.isEmpty()) {
             node.onList(new ServerList(0, false, changes));
@@ -387,6 +420,10 @@
                 broken.add("drained: box " + box + " was sent request " + request.id() + " "
                         + (at() - forbiddenUs[box]) / 1_000 + " ms after a source had said that it drains");
             }
+            if (operators != null && operators.forbids(serverId, at(), settings().drainGraceUs)) {
+                broken.add("drained: box " + box + " was sent request " + request.id()
+                        + " after an operator had drained it");
+            }
             if (mood == Mood.DEAD || mood == Mood.SILENT || mood == Mood.STRANGER) {
                 wasted++;
                 firstWastedUs[box] = firstWastedUs[box] < 0 ? at() : firstWastedUs[box];
@@ -464,7 +501,7 @@
     /** For a test: the sources that a seed draws. */
     static Set<String> sources(long seed) {
         Set<String> names = new TreeSet<>();
-        new FleetRun(seed, Watch.REQUESTS).declared.forEach(d -> names.add(d.name()));
+        new FleetRun(seed, Watch.REQUESTS, false).declared.forEach(d -> names.add(d.name()));
         return names;
     }
 }
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/fleet/Operators.java
@@ -0,0 +1,141 @@
+package vetchpost.simulation.fleet;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import vetchpost.control.Change;
+import vetchpost.control.Entries;
+import vetchpost.control.Judge;
+import vetchpost.control.Kind;
+import vetchpost.control.Lease;
+import vetchpost.control.Leases;
+import vetchpost.control.Leases.Verdict;
+import vetchpost.control.Situation;
+import vetchpost.control.Trail;
+import vetchpost.control.Trail.Entry;
+import vetchpost.control.Trail.Event;
+import vetchpost.sources.Membership.Member;
+import vetchpost.sources.Overrule;
+
+/** Operators who drain, weigh and freeze as chance has it, undo some of it, and a node that forgets all but
+ * its trail; with a list of its own of what may not be sent to whom. */
+final class Operators implements Overrule {
+    private static final long MS = 1_000;
+    private static final int MOST_LENGTH_MS = 6_000;
+
+    private final SplittableRandom chance;
+    private final List<String> trail = new ArrayList<>();
+    private final List<Ban> bans = new ArrayList<>();
+    private Leases leases = leases();
+    private int commands;
+
+    /** The checker's own note of a drain. */
+    private static final class Ban {
+        private final String server;
+        private final long number;
+        private final long fromUs;
+        private long untilUs;
+
+        Ban(String server, long number, long fromUs, long untilUs) {
+            this.server = server;
+            this.number = number;
+            this.fromUs = fromUs;
+            this.untilUs = untilUs;
+        }
+    }
+
+    Operators(long seed) {
+        chance = new SplittableRandom(seed * 0xD1B54A32D192ED03L + 31);
+    }
+
+    private static Leases leases() {
+        return new Leases(new Judge(0.3, 0.9));
+    }
+
+    /** One command, or a restart; says what is wrong, or nothing. */
+    String turn(List<Member> members, long us) {
+        long nowUs = us / MS * MS;
+        leases.expire(nowUs);
+        if (members.isEmpty()) {
+            return "";
+        }
+        if (chance.nextInt(8) == 0) {
+            return restart(members, nowUs);
+        }
+        if (chance.nextInt(5) == 0 && commands > 0) {
+            long number = 1 + chance.nextInt(commands);
+            if (leases.undo(number)) {
+                trail.add(Entries.text(new Entry(Event.UNDONE, number, nowUs / MS, null, "bob", "")));
+                bans.stream().filter(b -> b.number == number).forEach(b -> b.untilUs = nowUs);
+            }
+            return "";
+        }
+        Kind kind = List.of(Kind.DRAIN, Kind.DRAIN, Kind.WEIGHT, Kind.FREEZE).get(chance.nextInt(4));
+        String server = members.get(chance.nextInt(members.size())).id();
+        long length = 1_000 + chance.nextInt(MOST_LENGTH_MS - 1_000);
+        Change change = new Change(kind, kind == Kind.FREEZE ? "" : server,
+                kind == Kind.WEIGHT ? 1 + chance.nextInt(1_000) : 0, length, "ann", "a drawn night",
+                chance.nextInt(3), "k" + commands++, chance.nextInt(6) == 0);
+        Verdict verdict = leases.judge(change, situation(members), nowUs, nowUs / MS);
+        if (verdict.lease() != null) {
+            leases.grant(verdict.lease());
+            trail.add(Entries.text(new Entry(Event.GRANTED, verdict.lease().number(), nowUs / MS, change,
+                    "ann", "")));
+            if (kind == Kind.DRAIN) {
+                bans.add(new Ban(server, verdict.lease().number(), us, nowUs + length * MS));
+            }
+        }
+        return "";
+    }
+
+    private static Situation situation(List<Member> members) {
+        return new Situation(members.stream().map(m -> new Situation.Server(m.id(), m.zone(), m.weight(),
+                m.draining())).toList(), List.of());
+    }
+
+    private String restart(List<Member> members, long nowUs) {
+        Leases before = leases;
+        List<Entry> entries = trail.stream().map(Entries::read).toList();
+        leases = leases();
+        Trail.held(entries, nowUs / MS, nowUs).forEach(leases::grant);
+        entries.forEach(e -> leases.goOnAfter(e.number()));
+        boolean same = before.all().stream().map(Lease::endUs).sorted().toList().equals(
+                leases.all().stream().map(Lease::endUs).sorted().toList())
+                && members.stream().allMatch(m -> before.effects().drains(m.id()) == drains(m.id())
+                && before.effects().weight(m.id(), 1) == weight(m.id(), 1))
+                && before.effects().isFrozen() == holdsList();
+        return same ? "" : "overrides: a restart has changed what holds";
+    }
+
+    /** Lets what is due end. */
+    void expire(long us) {
+        leases.expire(us / MS * MS);
+    }
+
+    /** Whether a drain forbids an attempt, by the checker's own notes. */
+    boolean forbids(String server, long us, long graceUs) {
+        return bans.stream().anyMatch(b -> b.server.equals(server) && us > b.fromUs + graceUs
+                && us < b.untilUs);
+    }
+
+    /** How many hold. */
+    int held() {
+        return leases.all().size();
+    }
+
+    @Override
+    public boolean drains(String id) {
+        return leases.effects().drains(id);
+    }
+
+    @Override
+    public double weight(String id, double said) {
+        return leases.effects().weight(id, said);
+    }
+
+    @Override
+    public boolean holdsList() {
+        return leases.effects().isFrozen();
+    }
+}
--- a/src/main/java/vetchpost/sources/Composer.java
+++ b/src/main/java/vetchpost/sources/Composer.java
@@ -124,8 +124,8 @@
     }
 
     /**
-     * The list as it was, while it is held: who has come waits, who is left out stays, who has gone by a
-     * source's own word drains, and who drains does.
+     * The list as it was told last, while it is held: who has come waits, who is left out stays, who has gone
+     * by a source's own word drains, and who drains does.
      */
     private Map<String, Member> hold(Map<String, Member> now) {
         if (!overrule.holdsList()) {
@@ -133,16 +133,15 @@
             return now;
         }
         if (held == null) {
-            held = now;
+            held = new LinkedHashMap<>(last.isEmpty() ? now : last);
         }
-        Map<String, Member> all = new LinkedHashMap<>();
-        held.forEach((id, old) -> {
+        // Who is not named any more stays as it was when it was named last: also draining.
+        held.replaceAll((id, old) -> {
             Member fresh = now.getOrDefault(id, old);
-            boolean drains = fresh.draining() || membership.isSaidGone(id);
-            all.put(id, new Member(id, fresh.address(), drains, fresh.weight(), fresh.zone(),
-                    fresh.sinceUs()));
+            return new Member(id, fresh.address(), fresh.draining() || membership.isSaidGone(id),
+                    fresh.weight(), fresh.zone(), fresh.sinceUs());
         });
-        return all;
+        return Map.copyOf(held);
     }
 
     private ServerList.Target target(Member member) {
--- a/src/test/java/vetchpost/simulation/FleetSeedsTest.java
+++ b/src/test/java/vetchpost/simulation/FleetSeedsTest.java
@@ -29,6 +29,12 @@
         assertTrue(served > 0.99, "served " + served);
     }
 
+    @Test
+    void operatorsBreakNoRuleEither() {
+        LongStream.rangeClosed(1, SEEDS).parallel().forEach(seed -> assertEquals(List.of(),
+                FleetRun.play(seed, Watch.BOTH, true).broken(), "seed " + seed));
+    }
+
     @Test
     void theSameSeedGivesTheSameRun() {
         assertEquals(FleetRun.play(7, Watch.BOTH), FleetRun.play(7, Watch.BOTH));
--- a/src/test/java/vetchpost/sources/ComposerTest.java
+++ b/src/test/java/vetchpost/sources/ComposerTest.java
@@ -68,6 +68,70 @@
         }
     }
 
+    /** An operator's words, as they are at the moment. */
+    private static final class Words implements Overrule {
+        private String drained = "";
+        private boolean held;
+
+        @Override
+        public boolean drains(String id) {
+            return id.equals(drained);
+        }
+
+        @Override
+        public double weight(String id, double said) {
+            return id.endsWith(":2") ? said / 4 : said;
+        }
+
+        @Override
+        public boolean holdsList() {
+            return held;
+        }
+    }
+
+    @Test
+    void anOperatorsWordHoldsWhileItStandsAndWhatSourcesSayGoesOnBelowIt() {
+        Words words = new Words();
+        composer.overrule(words);
+        said(1, 2, 3);
+        tell();
+        assertEquals(0.25, node.get("127.0.0.1:2").weight());
+        words.drained = "127.0.0.1:3";
+        assertEquals(1, tell());
+        assertEquals(ServerState.DRAINING, state(3));
+        assertEquals(false, composer.members().stream().anyMatch(Membership.Member::draining),
+                "sources know nothing of it");
+        words.drained = "";
+        tell();
+        assertEquals(ServerState.READY, state(3));
+    }
+
+    @Test
+    void aListThatIsHeldLosesNobodyAndTakesInNobodyButADrainCounts() {
+        Words words = new Words();
+        composer.overrule(words);
+        said(1, 2, 3);
+        tell();
+        words.held = true;
+        now += S;
+        said(1, 4);
+        tell();
+        assertEquals(0, tell());
+        assertEquals(ServerState.READY, state(3));
+        assertEquals(false, node.containsKey("127.0.0.1:4"));
+        fleet.said(0, List.of(Named.of(new InetSocketAddress("127.0.0.1", 1)), new Named("",
+                List.of(new InetSocketAddress("127.0.0.1", 2)), Named.Word.DRAINING, 1, ""), new Named("",
+                List.of(new InetSocketAddress("127.0.0.1", 3)), Named.Word.GONE, 1, "")), now);
+        tell();
+        assertEquals(ServerState.DRAINING, state(2));
+        assertEquals(ServerState.DRAINING, state(3), "it has gone, and nothing is sent to what has gone");
+        words.held = false;
+        said(1, 4);
+        tell();
+        assertEquals(ServerState.GONE, state(3));
+        assertEquals(ServerState.READY, state(4));
+    }
+
     @Test
     void onlyWhatHasChangedIsTold() {
         said(1, 2, 3);
