--- a/src/main/java/vetchpost/sources/Composer.java
+++ b/src/main/java/vetchpost/sources/Composer.java
@@ -1,6 +1,7 @@
 package vetchpost.sources;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -141,7 +142,7 @@
             return new Member(id, fresh.address(), fresh.draining() || membership.isSaidGone(id),
                     fresh.weight(), fresh.zone(), fresh.sinceUs());
         });
-        return Map.copyOf(held);
+        return Collections.unmodifiableMap(new LinkedHashMap<>(held));
     }
 
     private ServerList.Target target(Member member) {
--- a/src/main/java/vetchpost/sources/Membership.java
+++ b/src/main/java/vetchpost/sources/Membership.java
@@ -2,6 +2,7 @@
 
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -199,7 +200,8 @@
             }
         });
         begun |= registers.stream().allMatch(Register::isHeard);
-        return Map.copyOf(members);
+        // In an order of its own: that of Map.copyOf is another in each process, and so would be a seed's run.
+        return Collections.unmodifiableMap(new LinkedHashMap<>(members));
     }
 
     /** How many more may go now without having been left out for long. */
