--- a/src/test/java/vetchpost/control/DeskTest.java
+++ b/src/test/java/vetchpost/control/DeskTest.java
@@ -93,6 +93,25 @@
         assertEquals(2, leases.all().size());
     }
 
+    @Test
+    void aRepeatedCommandIsRecordedOnce() {
+        ask(DRAIN);
+        JsonObject again = ask(DRAIN);
+        assertTrue(again.get("repeated").getAsBoolean());
+        assertEquals(1, again.getAsJsonObject("override").get("number").getAsInt());
+        assertEquals(1, recorded.size());
+        assertEquals(1, changes);
+    }
+
+    @Test
+    void aRecordThatHangsLetsNoMoreThanSoManyWait() {
+        slow = true;
+        for (int i = 0; i < 65; i++) {
+            assertEquals(List.of(), replies(DRAIN.replace("\"a\"", "\"k" + i + "\"")));
+        }
+        assertEquals("busy", ask(DRAIN.replace("\"a\"", "\"last\"")).get("error").getAsString());
+    }
+
     @Test
     void whatCanNotBeRecordedHasNoEffect() {
         trouble = "no space left on device";
--- a/src/test/java/vetchpost/control/LeasesTest.java
+++ b/src/test/java/vetchpost/control/LeasesTest.java
@@ -53,7 +53,7 @@
 
     @Test
     void drainsOneByOneAreRefusedOnceTooMuchWouldBeGone() {
-        for (int i = 3; i < 8; i++) {
+        for (int i = 3; i < 10; i++) {
             assertNotNull(ask(change(Kind.DRAIN, "s" + i, 0, 0), 0).lease(), "s" + i);
         }
         Verdict sixth = ask(change(Kind.DRAIN, "s8", 0, 0), 0);
@@ -72,6 +72,8 @@
         assertNotNull(ask(change(Kind.DRAIN, "s0", 0, 0), 0).lease());
         assertEquals(List.of("s1 is the last server of zone a that takes requests"),
                 ask(change(Kind.DRAIN, "s1", 0, 0), 0).against());
+        ask(anyway(change(Kind.DRAIN, "s1", 0, 0)), 0);
+        assertNotNull(ask(change(Kind.DRAIN, "s1", 0, 0), 0).lease(), "it takes nothing more away");
     }
 
     @Test
@@ -82,6 +84,8 @@
                 ask(change(Kind.SHED, "wirte", 500, 0), 0).against());
         assertEquals(List.of("it refuses 95 % of read, and most is 90 %"),
                 ask(change(Kind.SHED, "read", 950, 0), 0).against());
+        ask(anyway(change(Kind.SHED, "read", 950, 0)), 0);
+        assertNotNull(ask(change(Kind.SHED, "read", 500, 0), 0).lease(), "no more is refused by it");
     }
 
     @Test
@@ -236,7 +240,7 @@
 
     @Test
     void aShareOfAClassIsRefusedEvenly() {
-        ask(change(Kind.SHED, "write", 250, 0), 0);
+        ask(change(Kind.SHED, "write", 400, 0), 0);
         Shedder shedder = new Shedder(request -> vetchpost.core.RouteBounds.NONE, List.of("read", "write"),
                 leases::effects);
         StringBuilder entered = new StringBuilder();
@@ -244,7 +248,7 @@
             entered.append(shedder.boundsOf(request(1)).enter() ? "+" : "-");
             assertTrue(shedder.boundsOf(request(0)).enter());
         }
-        assertEquals("+++-+++-", entered.toString());
+        assertEquals("++-+-++-+-", entered.toString());
     }
 
     private static vetchpost.core.ClientRequest request(int cls) {
--- a/src/test/java/vetchpost/daemon/ControlTest.java
+++ b/src/test/java/vetchpost/daemon/ControlTest.java
@@ -108,9 +108,15 @@
             assertEquals(0, drain(second), said);
             assertTrue(said.contains("override 2 "), "numbers go on: " + said);
             allFrom(node, "first");
+            assertEquals(0, ctl("undo", "2"), said);
+        }
+        try (Alone node = node()) {
+            assertEquals(0, drain(first), said);
+            assertTrue(said.contains("override 3 "), "a number is never given twice: " + said);
+            allFrom(node, "second");
         }
         assertEquals(0, ctl("audit", audit().toString()));
-        assertTrue(said.contains("4 entries, each follows"), said);
+        assertTrue(said.contains("6 entries, each follows"), said);
         List<String> lines = Files.readAllLines(audit());
         lines.remove(1);
         Files.write(audit(), lines);
