Refuse a client's request whose path would not go out as it stands

A path that a URI library refuses was taken for a dead node, which was left out after five of them, and one with dots in it went out as another. Both libraries say so before anything is sent. Adding a node to a closed Java client threw.

--- a/clients/java/src/main/java/vetchpost/client/Client.java
+++ b/clients/java/src/main/java/vetchpost/client/Client.java
@@ -199,12 +199,12 @@
     /** A node to send to from now on. */
     public void addNode(String node) {
         String name = checked(node);
-        loop.execute(() -> perform(caller.addNode(nowMs(), name, false)));
+        onLoop(() -> perform(caller.addNode(nowMs(), name, false)));
     }
 
     /** A node that gets no more calls; those it has go on. */
     public void removeNode(String node) {
-        loop.execute(() -> perform(caller.removeNode(nowMs(), node)));
+        onLoop(() -> perform(caller.removeNode(nowMs(), node)));
     }
 
     /**
--- a/clients/java/src/main/java/vetchpost/client/Request.java
+++ b/clients/java/src/main/java/vetchpost/client/Request.java
@@ -1,5 +1,7 @@
 package vetchpost.client;
 
+import java.net.URI;
+import java.net.URISyntaxException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -49,12 +51,26 @@
         if (!method.matches(TOKEN)) {
             throw new IllegalArgumentException("'" + method + "' is no method");
         }
-        if (!target.startsWith("/") || !target.matches("[\\x21-\\x7e]+") || target.indexOf('#') >= 0) {
-            throw new IllegalArgumentException("'" + target + "' is no path that begins with /");
+        if (!isTarget(target)) {
+            throw new IllegalArgumentException("'" + target + "' is no path that begins with /, with what is"
+                    + " special in it escaped");
         }
         return new Request(method, target, repeat, window, null, Map.of(), new byte[0], null);
     }
 
+    /** Whether it goes out as it stands: a client's slip must not look like a node's failure. */
+    private static boolean isTarget(String target) {
+        if (!target.startsWith("/") || target.startsWith("//") || target.indexOf('#') >= 0) {
+            return false;
+        }
+        try {
+            URI uri = new URI("http://node" + target);
+            return uri.normalize().equals(uri) && uri.toASCIIString().equals("http://node" + target);
+        } catch (URISyntaxException e) {
+            return false;
+        }
+    }
+
     /** GET of a path, which has no effect: it may be repeated, and sent to two nodes. */
     public static Request get(String target) {
         return safe("GET", target);
--- a/clients/typescript/src/request.ts
+++ b/clients/typescript/src/request.ts
@@ -24,7 +24,7 @@
 
 const TOKEN = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/;
 const TEXT = /^[\x21-\x7e]([\x20-\x7e\t]*[\x21-\x7e])?$/;
-const TARGET = /^\/[\x21\x22\x24-\x7e]*$/;
+const TARGET = /^\/(?!\/)([A-Za-z0-9\-._~!$&'()*+,;=:@/?]|%[0-9A-Fa-f]{2})*$/;
 const KEY = /^[0-9A-Za-z_-]{1,128}$/;
 const CLASSES: readonly Repeat[] = ["safe", "keyed", "unsafe"];
 /** Fields that the client sets itself, or that belong to a connection. */
@@ -36,6 +36,15 @@
   return request.method ?? (request.repeat === "safe" ? "GET" : "POST");
 }
 
+/** Whether it goes out as it stands: a client's slip must not look like a node's failure. */
+function isTarget(target: string): boolean {
+  if (!TARGET.test(target)) {
+    return false;
+  }
+  const url = new URL(`http://node${target}`);
+  return url.pathname + url.search === target;
+}
+
 /** Says what is wrong with a request, before anything is sent.
  * @throws TypeError with the value and what would pass */
 export function check(request: Request): void {
@@ -45,8 +54,8 @@
   if (!TOKEN.test(methodOf(request))) {
     throw new TypeError(`'${methodOf(request)}' is no method`);
   }
-  if (!TARGET.test(request.target)) {
-    throw new TypeError(`'${request.target}' is no path that begins with /`);
+  if (!isTarget(request.target)) {
+    throw new TypeError(`'${request.target}' is no path that begins with /, with what is special in it escaped`);
   }
   if (request.withinMs !== undefined && !(request.withinMs >= 1)) {
     throw new TypeError("a deadline is at least a millisecond");
--- a/clients/typescript/test/examples.test.ts
+++ b/clients/typescript/test/examples.test.ts
@@ -56,6 +56,9 @@
 test("a request that is none is told before anything is sent", async () => {
   const client = new Client({ nodes: ["http://127.0.0.1:1"] });
   await assert.rejects(client.send({ repeat: "safe", target: "albums" }), /'albums' is no path that begins with \//);
+  for (const target of ["", "//other/x", "/a b", "/a#b", "/%zz", "/a{b}", "/a/../b", "/\u00e9"]) {
+    await assert.rejects(client.send({ repeat: "safe", target }), /with what is special in it escaped/);
+  }
   await assert.rejects(client.send({ repeat: "safe", target: "/", headers: { "X-Txn": "1" } }),
     /the client sets 'X-Txn' itself/);
   await assert.rejects(client.send({ repeat: "safe", target: "/", headers: { a: "b\r\nc: d" } }), /no header field/);
