Record and tell an override's end where a command comes just as it is due

Judging a command let overrides that were due end in silence: no entry in the trail, and the node's list kept the drain until its sources said something. And what failed while a change took effect left all later commands waiting. A test each, seen to fail before.

--- a/src/main/java/vetchpost/control/Desk.java
+++ b/src/main/java/vetchpost/control/Desk.java
@@ -161,6 +161,7 @@
 
     private void grant(JsonObject asked, Change change, Supplier<Now> now, Consumer<String> reply) {
         Now at = now.get();
+        expire(at); // Judging would let them end without a word.
         Verdict verdict = leases.judge(change, situation.get(), at.us(), at.unixMs());
         if (verdict.repeated() || verdict.lease() == null) {
             reply.accept(verdict.lease() == null ? refusal(asked, "refused", verdict.against())
@@ -174,15 +175,17 @@
         }
         record(new Entry(Event.GRANTED, verdict.lease().number(), at.unixMs(), change, change.owner(),
                 String.join("; ", verdict.against())), why -> {
-                if (why != null) {
-                    reply.accept(refusal(asked, "unrecorded", List.of("nothing was changed, since the record"
-                            + " of changes can't be kept: " + why)));
-                } else {
-                    leases.grant(verdict.lease());
-                    changed.run();
-                    reply.accept(granted(asked, verdict, now.get()));
+                try {
+                    if (why != null) {
+                        reply.accept(unrecorded(asked, why));
+                    } else {
+                        leases.grant(verdict.lease());
+                        changed.run();
+                        reply.accept(granted(asked, verdict, now.get()));
+                    }
+                } finally {
+                    done();
                 }
-                done();
             });
     }
 
@@ -194,15 +197,17 @@
             return;
         }
         record(new Entry(Event.UNDONE, number, now.get().unixMs(), null, owner, ""), why -> {
-            if (why != null) {
-                reply.accept(refusal(asked, "unrecorded", List.of("nothing was changed, since the record of"
-                        + " changes can't be kept: " + why)));
-            } else {
-                leases.undo(number);
-                changed.run();
-                reply.accept(answer(asked).toString());
+            try {
+                if (why != null) {
+                    reply.accept(unrecorded(asked, why));
+                } else {
+                    leases.undo(number);
+                    changed.run();
+                    reply.accept(answer(asked).toString());
+                }
+            } finally {
+                done();
             }
-            done();
         });
     }
 
@@ -241,6 +246,11 @@
         return json.toString();
     }
 
+    private static String unrecorded(JsonObject asked, String why) {
+        return refusal(asked, "unrecorded", List.of("nothing was changed, since the record of changes can't"
+                + " be kept: " + why));
+    }
+
     private static JsonArray texts(List<String> all) {
         JsonArray array = new JsonArray();
         all.forEach(array::add);
@@ -257,6 +267,7 @@
 
     /** Before and after, by the servers that take requests. */
     private String dry(JsonObject asked, Change change, Now now) {
+        expire(now);
         Situation there = situation.get();
         Verdict verdict = leases.judge(change, there, now.us(), now.unixMs());
         List<Lease> with = new ArrayList<>(leases.all());
--- a/src/test/java/vetchpost/control/DeskTest.java
+++ b/src/test/java/vetchpost/control/DeskTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -25,11 +26,19 @@
     private final List<String> recorded = new ArrayList<>();
     private final List<Consumer<String>> pending = new ArrayList<>();
     private boolean slow;
+    private boolean failing;
     private String trouble;
     private int changes;
     private long nowUs;
     private final Desk desk = new Desk(leases, DeskTest::four, () -> Map.of("requests", 3L), this::record,
-            () -> changes++);
+            this::changed);
+
+    private void changed() {
+        if (failing) {
+            throw new IllegalStateException("planted");
+        }
+        changes++;
+    }
 
     private static Situation four() {
         List<Server> servers = new ArrayList<>();
@@ -93,6 +102,24 @@
         assertEquals(2, leases.all().size());
     }
 
+    @Test
+    void whatEndsAsACommandComesIsRecordedAndToldAllTheSame() {
+        ask(DRAIN);
+        nowUs = 60_000_000;
+        ask(DRAIN.replace("s1", "s2").replace("\"a\"", "\"b\""));
+        assertEquals(List.of(Trail.Event.GRANTED, Trail.Event.ENDED, Trail.Event.GRANTED),
+                recorded.stream().map(r -> Entries.read(r).event()).toList());
+        assertEquals(3, changes);
+    }
+
+    @Test
+    void aListenerThatFailsDoesNotHoldUpTheNextCommand() {
+        failing = true;
+        assertThrows(IllegalStateException.class, () -> replies(DRAIN));
+        failing = false;
+        assertTrue(ask(DRAIN.replace("s1", "s2").replace("\"a\"", "\"b\"")).get("ok").getAsBoolean());
+    }
+
     @Test
     void aRepeatedCommandIsRecordedOnce() {
         ask(DRAIN);
