Give cold servers their part of what the fleet did at best, not of what it does now

Slow start took its unit from what the node gets answered just now; that falls with the load, and in a jam it falls most when the cold servers are wanted most.

ServedRate now keeps, beside the running mean, the best two seconds lately for each unit of size, and coldGap takes the shorter gap of the two. Answers of a short stall make no best, nor does what servers did that have gone.

--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -60,8 +60,6 @@
     private static final long MIN_SWEEP_US = 5_000;
     /** Share of a new value in a running mean: about the last 32. */
     private static final double MEAN_GAIN = 1.0 / 32;
-    /** Gap between answers assumed before any: most of a large fleet's nodes may have just started. */
-    private static final double FIRST_GAP_US = 1_000_000;
     /** Requests in flight that all nodes together start with for each server: few enough for one core. */
     private static final double FIRST_LIMIT = 4;
     /** Answers slower than this share of the aim say that a server is crowded: the rest is for chance. */
@@ -131,9 +129,7 @@
     private final PriorityQueue<Call> copies = new PriorityQueue<>(Comparator.comparingLong(c -> c.copyAt));
     private long now;
     private long wakePending = Long.MAX_VALUE;
-    private long lastServedAt;
-    private double servedGapUs = FIRST_GAP_US;
-    private int servedCount;
+    private final ServedRate served = new ServedRate();
     private final double[] latencyUs;
     private final double[] leastLatencyUs;
     private final int[] answers;
@@ -828,7 +824,7 @@
 
     /** How long a server takes for what takes others 1, as far as this node knows; forgotten with time. */
     private double pace(Server server) {
-        double forgetUs = PACE_KEPT * servedGapUs * Math.max(1, ready.size());
+        double forgetUs = PACE_KEPT * served.gapUs() * Math.max(1, ready.size());
         return 1 + (server.pace - 1) * StrictMath.exp(-(now - server.paceAt) / forgetUs);
     }
 
@@ -1041,8 +1037,7 @@
             leastLatencyUs[c] = answers[c] * MEAN_GAIN < 0.5 ? Double.MAX_VALUE
                     : Math.min(leastLatencyUs[c] * LEAST_DRIFT, latencyUs[c]);
             double crowded = Math.min(CROWDED_AT * call.aimUs, CROWDED_BY * leastLatencyUs[c]);
-            servedGapUs += meanGain(++servedCount) * (now - lastServedAt - servedGapUs);
-            lastServedAt = now;
+            served.answered(now, fleet.totalWeight);
             if (outcome.servedUs() <= crowded) {
                 // A cold server gets little and is quick with it: were its limit to pass the others', all
                 // nodes together would choke it as soon as slow start lets go (i3a094a).
@@ -1125,7 +1120,7 @@
         server.inFlight++;
         inFlight += isCounted(server) ? 1 : 0;
         settleRoom(server);
-        lastServedAt = lastServedAt == 0 ? now : lastServedAt;
+        served.begin(now);
         if (isCold(server)) {
             server.coldSentAt = now;
             server.coldPhase = 1;
@@ -1269,15 +1264,15 @@
 
     /**
      * Exception, slow start (rule 4): the unit is a cold server's part, by the list's sizes, of what this
-     * node gets answered (of what arrives clients' retries make too much in a jam), times the share of its
+     * node got answered at best lately (of what arrives clients' retries make too much; what is answered now
+     * falls with the load, and in a jam by as much as the cold servers are wanted), times the share of its
      * capacity that it has at least. All nodes together may send so many units as the rule's multiple; each
      * spends half of that, evenly spaced, the first after a random part of the space.
      */
     private long coldGap(Server server) {
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
-        double gap = Math.max(servedGapUs, lastServedAt == 0 ? 0 : MEAN_GAIN * (now - lastServedAt));
-        double part = server.weight / Math.max(server.weight, fleet.totalWeight);
-        return (long) (server.coldPhase * gap / (part * share * Math.max(1, set.fallMultiple / 2)));
+        double unitUs = served.unitGapUs(now, Math.max(server.weight, fleet.totalWeight));
+        return (long) (server.coldPhase * unitUs / (server.weight * share * Math.max(1, set.fallMultiple / 2)));
     }
 }
--- a/src/test/java/vetchpost/decision/ColdServerTest.java
+++ b/src/test/java/vetchpost/decision/ColdServerTest.java
@@ -150,4 +150,32 @@
         // A fifth of 200/11 a second, times two seconds, times the rule's three: 22 at most.
         assertTrue(toCold >= 1 && toCold <= 22, "sent by all nodes in two seconds: " + toCold);
     }
+
+    @Test
+    void aColdServerGetsNoLessBecauseTheLoadHasFallen() {
+        // Guards the many-node days: where 36 of 60 servers were cold the rest drowned, since the cold ones'
+        // budgets followed what was answered just then, which had fallen with the rest.
+        long[] toCold = new long[2];
+        for (int quieter = 0; quieter < 2; quieter++) {
+            Node node = new Node().with(4);
+            for (int i = 0; i < 600; i++) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+            }
+            // Then the same, or a quarter of it, and one server in five is new.
+            long pauseUs = quieter * 30_000;
+            for (int i = 0; i < 50; i++) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+                node.advance(pauseUs);
+            }
+            node.list(ListKind.CHANGES, List.of(started("cold", node.now)));
+            long until = node.now + 4_000_000;
+            while (node.now < until) {
+                node.serve(Node.SAFE, Result.OK, 10_000);
+                node.advance(pauseUs);
+            }
+            toCold[quieter] = node.sentTo("cold");
+        }
+        assertTrue(toCold[1] >= 0.45 * toCold[0], "sent to the cold server at full load and at a quarter: "
+                + toCold[0] + " and " + toCold[1]);
+    }
 }
