Have a server rest after each answer where a node's part of its limit is under one

Cause: with 14 nodes a server's limit of four is 0.29 for each, and one request was let through all the same: 14 at a server, three times its limit, and what times out leaves the count while the server still works on it. A limit under one is now kept as the part of the time in which a node may have a request there: after an answer that took t the server rests for t (1 / limit - 1). What it turned away took no time, so there the usual latency counts. A node with nothing out is not held back: it may be the last one alive.

--- a/src/main/java/vetchpost/decision/Server.java
+++ b/src/main/java/vetchpost/decision/Server.java
@@ -26,6 +26,8 @@
     long paceAt;
     double limit;
     long limitCutAt;
+    /** Until then it gets nothing: this node has had its part of its time. */
+    long restUntil;
     /** When it was last wanted while at its limit, and since when it is there, or -1. */
     long wantedAt;
     long fullSince = -1;
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -475,6 +475,8 @@
                 learnHealth(result != Result.OK ? 0 : inTime || longAtBest ? 1 : call.cls.lateWorth());
             }
             adaptLimit(call, attempt, outcome);
+            // What was turned away took no time, but the server is as full for the next one.
+            rest(server, result.neverRan ? usual : outcome.servedUs());
         }
         if (outcome.requestEnded()) {
             end(call);
@@ -690,6 +692,7 @@
         server.ejected = false;
         server.trialsWon = 0;
         server.limit = FIRST_LIMIT / set.nodes;
+        server.restUntil = 0;
     }
 
     /** An ejected server that is due for a trial with this request, if it is repeatable, or null. */
@@ -1022,8 +1025,8 @@
     /**
      * Exception, concurrency limits: each server's limit grows when it was met while a request was out
      * that was answered well inside the aim, and falls when answers are slow or requests are turned away.
-     * Acts only when a draw would exceed a server's limit, or the node the sum of all limits (with many
-     * nodes a server's part is under one).
+     * Acts only when a draw would exceed a server's limit, or the node the sum of all limits. With many nodes
+     * a server's part is under one: then it rests after each answer, for as long as makes it that part.
      */
     private void adaptLimit(Call call, int attempt, Outcome outcome) {
         Server server = call.servers[attempt];
@@ -1055,6 +1058,11 @@
         settleRoom(server);
     }
 
+    /** A limit under one is the part of the time in which this node may have a request there. */
+    private void rest(Server server, double heldUs) {
+        server.restUntil = now + (long) (heldUs * Math.max(0, 1 / server.limit - 1));
+    }
+
     /** When a server was last wanted while it was full, or all were. */
     private long wantedAt(Server server) {
         long asFull = server.fullSince >= 0 && fullWantedAt >= server.fullSince ? fullWantedAt : 0;
@@ -1074,7 +1082,7 @@
         if (isThrottled()) {
             return true;
         }
-        if (isAtLimit(server) || isJammed()) {
+        if (isAtLimit(server) || now < server.restUntil && inFlight > 0 || isJammed()) {
             server.wantedAt = now;
             return true;
         }
--- /dev/null
+++ b/src/test/java/vetchpost/decision/ManyNodesTest.java
@@ -0,0 +1,92 @@
+package vetchpost.decision;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.Settings;
+
+/** What one node does that is safe alone, done by many at the same time. */
+class ManyNodesTest {
+    private static final int NODES = 14;
+    private static final int SERVERS = 8;
+    private static final long STEP_US = 5_000;
+
+    private static List<Node> nodes() {
+        List<Node> nodes = new ArrayList<>();
+        for (int n = 0; n < NODES; n++) {
+            Settings set = Node.settings();
+            set.nodes = NODES;
+            nodes.add(new Node(set, n + 1).with(SERVERS));
+        }
+        return nodes;
+    }
+
+    /** All nodes always have requests; how many each server had on average, if all answers take so long. */
+    private static double meanAtServer(long afterUs, long lengthUs) {
+        List<Node> nodes = nodes();
+        long out = 0;
+        long steps = lengthUs / STEP_US;
+        for (long step = 0; step < steps; step++) {
+            for (Node node : nodes) {
+                answerAll(node, afterUs);
+                node.ask(Node.UNSAFE);
+                out += node.out.size();
+                node.advance(STEP_US);
+            }
+        }
+        return (double) out / steps / SERVERS;
+    }
+
+    private static void answerAll(Node node, long afterUs) {
+        for (Node.Sent sent : List.copyOf(node.out)) {
+            if (sent.atUs() + afterUs <= node.now) {
+                node.answer(sent.request(), Result.OK, 0);
+            }
+        }
+    }
+
+    @Test
+    void allNodesTogetherKeepToAServersLimit() {
+        // Slow answers, so that the limit of four does not grow; without rests it is one for each node.
+        double mean = meanAtServer(150_000, 10_000_000);
+        assertTrue(mean > 0.5 && mean <= 3, "requests at each server on average: " + mean);
+    }
+
+    @Test
+    void aServerThatTurnsRequestsAwayIsNotAskedAgainAtOnceByAll() {
+        long asked = 0;
+        for (Node node : nodes()) {
+            for (int i = 0; i < 24; i++) {
+                node.serve(Node.SAFE, Result.OK, 40_000);
+            }
+            for (int i = 0; i < 10; i++) {
+                node.ask(Node.UNSAFE);
+                for (Node.Sent sent : List.copyOf(node.out)) {
+                    if (sent.server().equals("s0")) {
+                        asked++;
+                        node.answer(sent.request(), Result.FULL, 0);
+                    }
+                }
+                answerAll(node, 20_000);
+                node.advance(10_000);
+            }
+        }
+        assertTrue(asked >= 1 && asked <= 2 * NODES, "asked in 0.1 s by all: " + asked);
+    }
+
+    @Test
+    void aNodeThatHasNothingOutIsNotHeldBackByRests() {
+        // The last node of fourteen: the others are dead, and its part is all that is served.
+        Node node = nodes().get(0);
+        for (int i = 0; i < 200; i++) {
+            long id = node.ask(Node.UNSAFE);
+            assertTrue(node.attempts(id) == 1, "sent at once");
+            node.answer(id, Result.OK, 150_000);
+        }
+    }
+}
--- a/src/test/java/vetchpost/decision/Node.java
+++ b/src/test/java/vetchpost/decision/Node.java
@@ -29,6 +29,8 @@
 
     final Settings settings;
     final List<Sent> sent = new ArrayList<>();
+    /** What has no outcome yet. */
+    final List<Sent> out = new ArrayList<>();
     final List<Long> refused = new ArrayList<>();
     final List<Long> failed = new ArrayList<>();
     final List<String> cancelled = new ArrayList<>();
@@ -131,6 +133,7 @@
     void answer(long request, Result result, long afterUs) {
         advance(afterUs);
         Sent attempt = last(request);
+        out.remove(attempt);
         balancer.onOutcome(now, new Outcome(request, attempt.attempt, result, now - attempt.atUs,
                 result == Result.OK, null));
     }
@@ -167,7 +170,9 @@
 
     @Override
     public void send(long requestId, String serverId, long untilUs) {
-        sent.add(new Sent(now, requestId, attempts(requestId), serverId, untilUs));
+        Sent attempt = new Sent(now, requestId, attempts(requestId), serverId, untilUs);
+        sent.add(attempt);
+        out.add(attempt);
     }
 
     @Override
