--- a/src/main/java/vetchpost/simulation/Plan.java
+++ b/src/main/java/vetchpost/simulation/Plan.java
@@ -35,6 +35,7 @@
     private static final double RESTARTING = 0.29;
     private static final int STORM_ONE_IN = 5;
     private static final double MOST_WORK_MS = 120;
+    private static final int MANY_BOXES = 60;
 
     /** Puts the faults in the order of their times. */
     public Plan {
@@ -65,6 +66,53 @@
                 faults, null);
     }
 
+    /**
+     * The plan of a seed for many nodes before a large fleet, at the load per server of the service: on the
+     * same day most nodes are killed in one instant, a rack is lost and back cold in one tick, six in ten
+     * servers are replaced within seconds and the list is silent or late, each or all of them by the seed.
+     *
+     * @param nodes how many, 1 to 200
+     */
+    public static Plan many(long seed, int nodes) {
+        SplittableRandom random = new SplittableRandom(seed * 0x9E3779B97F4A7C15L + 3);
+        int boxes = MANY_BOXES - random.nextInt(MANY_BOXES / 3);
+        int racks = 4 + random.nextInt(5);
+        long lengthMs = 5_000 + random.nextInt(3_000);
+        double perBox = 12 + 8 * random.nextDouble();
+        double workMs = (0.4 + 0.5 * random.nextDouble()) * 1_000 / perBox;
+        int troubles = 1 + random.nextInt(15);
+        long at = 800 + random.nextInt(1_500);
+        List<Fault> faults = new ArrayList<>();
+        if ((troubles & 1) != 0) {
+            for (int n = 0; n < (7 * nodes + 9) / 10; n++) {
+                faults.add(new Fault(at + random.nextInt(2) * 400, Fault.Kind.CRASH, n, 300
+                        + random.nextInt(3_000), 0));
+            }
+        }
+        if ((troubles & 2) != 0) {
+            int rack = random.nextInt(racks);
+            long lost = at - random.nextInt(600);
+            long back = 400 + random.nextInt(1_800);
+            for (int n = rack; n < boxes; n += racks) {
+                faults.add(new Fault(lost, Fault.Kind.KILL, n, back, 0));
+            }
+        }
+        if ((troubles & 4) != 0) {
+            for (int n = 0; n < 6 * boxes / 10; n++) {
+                faults.add(new Fault(at + random.nextInt(3_000), random.nextBoolean() ? Fault.Kind.REPLACE
+                        : Fault.Kind.DRAIN, n, 200 + random.nextInt(1_000), 0));
+            }
+        }
+        if ((troubles & 8) != 0) {
+            faults.add(new Fault(at, random.nextBoolean() ? Fault.Kind.MUTE : Fault.Kind.LATE, 0,
+                    random.nextInt(3_000), 0));
+            some(random, boxes, FAILING / 2, n -> faults.add(
+                    new Fault(at, Fault.Kind.SLOW, n, 2_000, 6)));
+        }
+        return new Plan(seed, nodes, boxes, racks, random.nextInt(4) == 0, perBox * boxes, lengthMs, workMs, 1,
+                faults, null);
+    }
+
     /** All that is seen together on the worst days, within one second. */
     private static void storm(SplittableRandom random, int nodes, int boxes, long lengthMs,
             List<Fault> faults) {
--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -29,6 +29,7 @@
 public final class SimulateCommand implements Callable<Integer> {
     private static final NodeProcess.Planting NONE = loop -> Seams.NONE;
     private static final long MOST_SEEDS = 10_000_000;
+    private static final int MOST_NODES = 200;
     private static final long PROGRESS_NS = 1_000_000_000L;
 
     @Spec
@@ -44,6 +45,10 @@
     @Option(names = "--script", paramLabel = "FILE", description = "Runs the scenario of a script.")
     private Path script;
 
+    @Option(names = "--nodes", paramLabel = "N",
+            description = "So many nodes before 40 to 60 servers, and what goes wrong at such a size; 1 to 200.")
+    private Integer nodes;
+
     @Option(names = "--jobs", paramLabel = "N",
             description = "Runs so many seeds at a time; all cores if not said.")
     private int jobs = Runtime.getRuntime().availableProcessors();
@@ -83,6 +88,12 @@
         if (ways != 1) {
             throw bad("give one of --seeds, --seed and --script");
         }
+        if (nodes != null && (nodes < 1 || nodes > MOST_NODES)) {
+            throw bad("--nodes is not from 1 to " + MOST_NODES);
+        }
+        if (nodes != null && script != null) {
+            throw bad("--nodes goes with --seed or --seeds: a script says itself how many there are");
+        }
         if (jobs < 1 || jobs > 1_024) {
             throw bad("--jobs is not from 1 to 1024");
         }
@@ -95,7 +106,7 @@
 
     private Plan plan() throws IOException {
         if (script == null) {
-            return Plan.of(seed);
+            return drawn(seed);
         }
         try {
             return PlanText.parse(Files.readAllLines(script, StandardCharsets.UTF_8));
@@ -106,6 +117,10 @@
         }
     }
 
+    private Plan drawn(long of) {
+        return nodes == null ? Plan.of(of) : Plan.many(of, nodes);
+    }
+
     private NodeProcess.Planting planting(Plan plan) {
         NodeProcess.Planting nodes = recovery ? Remembering.of(plan) : NONE;
         return admission ? new Guarded(nodes) : nodes;
@@ -169,7 +184,7 @@
         PrintWriter out = spec.commandLine().getOut();
         PrintWriter err = spec.commandLine().getErr();
         SeedRuns runs = new SeedRuns(Long.parseLong(ends[0]), Long.parseLong(ends[1]), jobs,
-                n -> run(Plan.of(n)));
+                n -> run(drawn(n)));
         long began = System.nanoTime();
         saidNs = began;
         runs.run((done, of, failed) -> {
