--- /dev/null
+++ b/src/test/java/vetchpost/simulation/ManyNodesSeedsTest.java
@@ -0,0 +1,47 @@
+package vetchpost.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Fourteen nodes before a large fleet: killed at once, a rack cold in one tick, most servers replaced. */
+@Timeout(300)
+class ManyNodesSeedsTest {
+    private static final int NODES = 14;
+    private static final int SEEDS = 24;
+
+    @Test
+    void noSeedBreaksARule() throws Exception {
+        SeedRuns runs = new SeedRuns(1, SEEDS, Runtime.getRuntime().availableProcessors(),
+                seed -> Simulation.run(Plan.many(seed, NODES)));
+        runs.run((done, of, failed) -> { });
+        System.out.println(runs.summary());
+        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
+                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
+    }
+
+    @Test
+    void thePlansHoldWhatTheyAreNamedFor() {
+        Set<Fault.Kind> seen = EnumSet.noneOf(Fault.Kind.class);
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Plan plan = Plan.many(seed, NODES);
+            assertEquals(NODES, plan.nodes());
+            assertTrue(plan.boxes() >= 40 && plan.boxes() <= 60, plan.boxes() + " boxes");
+            plan.faults().forEach(f -> seen.add(f.kind()));
+        }
+        assertTrue(seen.containsAll(List.of(Fault.Kind.CRASH, Fault.Kind.KILL, Fault.Kind.REPLACE,
+                Fault.Kind.DRAIN, Fault.Kind.MUTE, Fault.Kind.LATE, Fault.Kind.SLOW)), seen.toString());
+    }
+
+    @Test
+    void theSameSeedGivesTheSameRun() {
+        assertEquals(Simulation.run(Plan.many(3, NODES)).digest(),
+                Simulation.run(Plan.many(3, NODES)).digest());
+    }
+}
--- a/src/test/java/vetchpost/simulation/SimulateCommandTest.java
+++ b/src/test/java/vetchpost/simulation/SimulateCommandTest.java
@@ -62,7 +62,8 @@
 
     @ParameterizedTest
     @ValueSource(strings = {"", "--seeds 5", "--seeds 9..3", "--seed x", "--seed 1 --seeds 1..2",
-        "--jobs 0 --seed 1", "--seeds 1..2 --shrink", "--nothing", "--script /nowhere/at/all"})
+        "--jobs 0 --seed 1", "--nodes 0 --seed 1", "--nodes 2 --script /nowhere",
+        "--seeds 1..2 --shrink", "--unheard-of", "--script /nowhere/at/all"})
     void badArgumentsAreTwo(String arguments) {
         assertEquals(2, run(arguments.isEmpty() ? new String[0] : arguments.split(" ")));
         assertTrue(err.toString().contains("Usage:"), err.toString());
