--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -244,7 +244,6 @@
             server.answers = 0;
             server.startedAt = entry.startedAtUs();
             // All nodes learn of a start at about the same time: they must not all send at once (icd7515).
-            server.limit = 1.0 / set.nodes; // One for all nodes: four take a cold server longer than any aim.
             server.coldSentAt = now;
             server.coldPhase = random.nextDouble();
         }
