--- a/src/test/java/vetchpost/decision/ManyNodesTest.java
+++ b/src/test/java/vetchpost/decision/ManyNodesTest.java
@@ -89,4 +89,21 @@
             node.answer(id, Result.OK, 150_000);
         }
     }
+
+    @Test
+    void aNodeWithFewRequestsFindsAServerThatFailsOrIsSilentByAFewOfItsOwn() {
+        for (Result result : List.of(Result.ERROR, Result.TIMEOUT)) {
+            Node node = nodes().get(0);
+            // Five requests a second for a minute, of which an eighth would be 37.
+            for (int i = 0; i < 300; i++) {
+                long id = node.ask(Node.UNSAFE);
+                boolean bad = node.last(id).server().equals("s0");
+                long tookUs = bad && result == Result.TIMEOUT ? 200_000 : 30_000;
+                node.answer(id, bad ? result : Result.OK, tookUs);
+                node.advance(200_000 - tookUs);
+            }
+            long toBad = node.sentTo("s0");
+            assertTrue(toBad >= 1 && toBad <= 3, result + ": " + toBad + " of 300 to the bad one");
+        }
+    }
 }
