--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -370,8 +370,9 @@
         call.value = value(call);
         // On a node that is behind the answer will lie unread too: what can't be in time takes none of the
         // processor from the rest. After a single pause that is too much.
-        if (isWorthless(call) || shedding.refuses(call, random) || call.cls.lateWorth() == 0 && request.waitedUs() > sweepUs && call.aimAt - now
-                < request.waitedUs() / 2 + latencyUs[request.classIndex()]) {
+        if (isWorthless(call) || shedding.refuses(call, random) || call.cls.lateWorth() == 0
+                && request.waitedUs() > sweepUs
+                && call.aimAt - now < request.waitedUs() / 2 + latencyUs[request.classIndex()]) {
             giveUp(call);
             return;
         }
@@ -719,7 +720,8 @@
         int from = ejected.size() <= LOOKS ? 0 : random.nextInt(ejected.size());
         for (int i = 0; i < Math.min(LOOKS, ejected.size()) && call.cls.repeat() != Repeat.UNSAFE; i++) {
             Server server = ejected.get((from + i) % ejected.size());
-            if (!isAtLimit(server) && now >= server.restUntil && !server.unreachable && !hasJustTried(call, server)
+            if (!isAtLimit(server) && now >= server.restUntil && !server.unreachable
+                    && !hasJustTried(call, server)
                     && now < server.servedAt + MOST_EJECT_US && isAllowed(call, server)
                     && (best == null || recentFailures(server) < recentFailures(best))) {
                 best = server;
@@ -1285,6 +1287,6 @@
         double age = Math.max(0, now - server.startedAt) / (double) set.coldUs;
         double share = set.coldFrom + (1 - set.coldFrom) * Math.min(1, age);
         double unitUs = served.unitGapUs(now, Math.max(server.weight, fleet.totalWeight));
-        return (long) (server.coldPhase * unitUs / (server.weight * share * Math.max(1, set.fallMultiple / 2)));
+        return (long) (server.coldPhase * unitUs / server.weight / share / Math.max(1, set.fallMultiple / 2));
     }
 }
--- a/src/main/java/vetchpost/simulation/Plan.java
+++ b/src/main/java/vetchpost/simulation/Plan.java
@@ -109,8 +109,8 @@
             some(random, boxes, FAILING / 2, n -> faults.add(
                     new Fault(at, Fault.Kind.SLOW, n, 2_000, 6)));
         }
-        return new Plan(seed, nodes, boxes, racks, random.nextInt(4) == 0, perBox * boxes, lengthMs, workMs, 1,
-                faults, null);
+        return new Plan(seed, nodes, boxes, racks, random.nextInt(4) == 0, perBox * boxes, lengthMs, workMs,
+                1, faults, null);
     }
 
     /** All that is seen together on the worst days, within one second. */
