--- a/src/test/java/vetchpost/conductor/NameServer.java
+++ b/src/test/java/vetchpost/conductor/NameServer.java
@@ -48,6 +48,15 @@
     private final Channel streams;
 
     NameServer(EventLoopGroup group) throws Exception {
+        // TCP first: its numbers are often taken by connections of other programs, those of UDP hardly ever.
+        streams = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new TcpDnsQueryDecoder(), new TcpDnsResponseEncoder(),
+                                new Streams());
+                    }
+                }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
         datagrams = new Bootstrap().group(group).channel(NioDatagramChannel.class)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
@@ -56,15 +65,7 @@
                                 new DatagramDnsResponseEncoder(),
                                 new Datagrams());
                     }
-                }).bind(InetAddress.getLoopbackAddress(), 0).sync().channel();
-        streams = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new TcpDnsQueryDecoder(), new TcpDnsResponseEncoder(),
-                                new Streams());
-                    }
-                }).bind(datagrams.localAddress()).sync().channel();
+                }).bind(streams.localAddress()).sync().channel();
     }
 
     InetSocketAddress address() {
