--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -23,7 +23,8 @@
             + "boxes, discovery and faults drawn from a seed, and checks the four rules after every step.",
             "The same seed gives the same run, and the same digest, every time."},
         footer = {"", "Examples:", "  simulate --seeds 1..500", "  simulate --seed 17 --trace seed-17.txt",
-            "  simulate --seed 17 --shrink > small.txt && simulate --script small.txt"},
+            "  simulate --seed 17 --shrink > small.txt && simulate --script small.txt",
+            "  simulate --nodes 14 --seeds 1..100"},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:no rule broken", "1:some run breaks a rule", "2:bad arguments or script"})
 public final class SimulateCommand implements Callable<Integer> {
