--- a/src/test/java/vetchpost/simulation/LargeFleetSeedsTest.java
+++ b/src/test/java/vetchpost/simulation/LargeFleetSeedsTest.java
@@ -43,12 +43,7 @@
     }
 
     private static void assertNoneBreaksARule(Parts parts) throws Exception {
-        SeedRuns runs = new SeedRuns(1, SEEDS, Runtime.getRuntime().availableProcessors(),
-                seed -> Simulation.run(plan(seed), parts, null));
-        runs.run((done, of, failed) -> { });
-        System.out.println(runs.summary());
-        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
-                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
+        Seeds.assertNoneBreaksARule(SEEDS, seed -> Simulation.run(plan(seed), parts, null));
     }
 
     /** The boxes that one wrong list leaves out go on being asked: the next list names them. */
--- a/src/test/java/vetchpost/simulation/ManyNodesSeedsTest.java
+++ b/src/test/java/vetchpost/simulation/ManyNodesSeedsTest.java
@@ -18,12 +18,7 @@
 
     @Test
     void noSeedBreaksARule() throws Exception {
-        SeedRuns runs = new SeedRuns(1, SEEDS, Runtime.getRuntime().availableProcessors(),
-                seed -> Simulation.run(Plan.many(seed, NODES)));
-        runs.run((done, of, failed) -> { });
-        System.out.println(runs.summary());
-        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
-                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
+        Seeds.assertNoneBreaksARule(SEEDS, seed -> Simulation.run(Plan.many(seed, NODES)));
     }
 
     @Test
--- a/src/test/java/vetchpost/simulation/SeedsTest.java
+++ b/src/test/java/vetchpost/simulation/SeedsTest.java
@@ -1,7 +1,6 @@
 package vetchpost.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import vetchpost.node.Seams;
 import org.junit.jupiter.api.Test;
@@ -14,36 +13,25 @@
 
     @Test
     void noSeedBreaksARule() throws Exception {
-        SeedRuns runs = new SeedRuns(1, SEEDS, Runtime.getRuntime().availableProcessors(),
-                seed -> Simulation.run(Plan.of(seed)));
-        runs.run((done, of, failed) -> { });
-        System.out.println(runs.summary());
-        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
-                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
+        Seeds.assertNoneBreaksARule(SEEDS, seed -> Simulation.run(Plan.of(seed)));
     }
 
     /** Nodes that keep what they know and ask each other, half of them given no list when they come back. */
     @Test
     void noSeedBreaksARuleWhereNodesRemember() throws Exception {
-        SeedRuns runs = new SeedRuns(1, SEEDS / 4, Runtime.getRuntime().availableProcessors(), seed -> {
+        Seeds.assertNoneBreaksARule(SEEDS / 4, seed -> {
             Plan plan = Plan.of(seed);
             return Simulation.run(plan, Remembering.of(plan), null);
         });
-        runs.run((done, of, failed) -> { });
-        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
-                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
     }
 
     /** Requests stand before the door of each node. */
     @Test
     void noSeedBreaksARuleBehindTheDoor() throws Exception {
-        SeedRuns runs = new SeedRuns(1, SEEDS / 4, Runtime.getRuntime().availableProcessors(), seed -> {
+        Seeds.assertNoneBreaksARule(SEEDS / 4, seed -> {
             Plan plan = Plan.of(seed);
             return Simulation.run(plan, new Guarded(Remembering.of(plan)), null);
         });
-        runs.run((done, of, failed) -> { });
-        assertTrue(runs.failed().isEmpty(), () -> runs.failed().values().stream()
-                .map(r -> "seed " + r.seed() + " " + r.violation()).toList().toString());
     }
 
     @Test
