Give each of many nodes a part of the servers, wider for a node that is asked for more

Each node asks 6 to 8 times a second and goes to all 60 servers, so that it is back at one after 10 s: own requests in flight are always none, the last answer's time is old, and limits cut after a slow answer act when all has changed. The lines at fault: ServiceQBalancer chooses from all ready servers whatever set.nodes is, and FIRST_LIMIT / set.nodes (0.04) leaves the rest to rests.

Aperture: all ready servers on a ring, node i of N takes 4 * servers / N in a row, three at least, so that its part of a server is one request. What comes is weighed by the least usual latency; a node asked for more than its part of all servers takes as many times as many. Half of its servers ill: twice as many for 10 s. Four nodes or fewer: as before. What fails at once now rests for a whole turn of its limit.

--- a/src/main/java/vetchpost/config/SettingsReader.java
+++ b/src/main/java/vetchpost/config/SettingsReader.java
@@ -33,6 +33,7 @@
     private Settings settings() {
         Settings set = new Settings();
         set.nodes = (int) whole("balancers", set.nodes);
+        set.node = (int) whole("me", set.node);
         for (String zone : list("zones")) {
             set.zones.add(zone);
         }
--- a/src/main/java/vetchpost/core/Subset.java
+++ b/src/main/java/vetchpost/core/Subset.java
@@ -11,6 +11,7 @@
 import vetchpost.decision.Balancer.ListKind;
 import vetchpost.decision.Balancer.Result;
 import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Ring;
 
 /**
  * The part of a large fleet that one of many nodes sends to, so that not every node holds connections to
@@ -114,16 +115,9 @@
         return true;
     }
 
-    /** Where a server, or its cell, stands: 64 well-mixed bits (the finalizer of MurmurHash3, Appleby). */
+    /** Where a server, or its cell, stands. */
     private long seat(Target target) {
-        long hash = 0xcbf29ce484222325L;
-        String unit = byCell ? Integer.toString(target.cell()) : target.id();
-        for (int i = 0; i < unit.length(); i++) {
-            hash = (hash ^ unit.charAt(i)) * 0x100000001b3L;
-        }
-        hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
-        hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
-        return hash ^ hash >>> 33;
+        return Ring.seat(byCell ? Integer.toString(target.cell()) : target.id());
     }
 
     /** Chooses anew; what is new to the node, and as gone what it is to leave alone. */
--- a/src/main/java/vetchpost/decision/Balancer.java
+++ b/src/main/java/vetchpost/decision/Balancer.java
@@ -275,6 +275,8 @@
     final class Settings {
         /** Number of nodes, this one included. */
         public int nodes = 1;
+        /** This node's number among them, from 0. */
+        public int node;
         /** This node's zone, an index into {@link #zones}. */
         public int myZone;
         /** Zones by name. */
@@ -331,6 +333,7 @@
         void validate() {
             require(!classes.isEmpty(), "classes is empty");
             require(nodes >= 1, "nodes is under 1");
+            require(node >= 0 && node < nodes, "node is not among nodes");
             require(maxAttempts >= 1, "maxAttempts is under 1");
             require(myZone >= 0 && myZone < Math.max(1, zones.size()), "myZone is not among zones");
             requireTime(tickUs, "tickUs");
--- a/src/main/java/vetchpost/decision/Call.java
+++ b/src/main/java/vetchpost/decision/Call.java
@@ -26,9 +26,6 @@
     int attempts;
     int outstanding;
     boolean waiting;
-    boolean asking;
-    int asksOut;
-    long decideAt;
     boolean streaming;
     boolean ended;
 
--- a/src/main/java/vetchpost/decision/Server.java
+++ b/src/main/java/vetchpost/decision/Server.java
@@ -1,8 +1,6 @@
 package vetchpost.decision;
 
-import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.List;
 
 import vetchpost.decision.Balancer.ServerState;
 
@@ -10,6 +8,8 @@
 final class Server extends Roster.Member {
     final String id;
     final long number;
+    /** Where it stands on the ring of all servers. */
+    final long seat;
     /** The last whole list, by number, that named it. */
     int named;
     int zone;
@@ -20,8 +20,6 @@
     int inFlight;
     /** Share of its answers that failed, and not by being late or full. */
     double faults;
-    boolean asked;
-    final List<Call> askers = new ArrayList<>();
     double pace = 1;
     long paceAt;
     double limit;
@@ -72,6 +70,7 @@
 
     Server(String id, long number, double limit, int classes) {
         this.id = id;
+        seat = Ring.seat(id);
         this.number = number;
         this.limit = limit;
         misses = new int[classes];
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -34,12 +34,6 @@
     private static final double USUAL_LEFT_WITHIN = 0.02;
     /** From this share of a class on a time left is the one of first tries: in a jam most are not. */
     private static final double USUAL_LEFT_AT = 0.2;
-    /** A probe is waited for during this share of the usual latency. */
-    private static final double ASK_FOR = 0.25;
-    /** Part of what comes late that asking both servers is expected to save: it is set against its price. */
-    private static final double ASK_GAIN = 0.5;
-    /** Share of faults from which on a pair is not asked: what fails fast answers probes fast too. */
-    private static final double FAULTY = 0.1;
     /** A failure counts in the pace as an answer that took so many times the usual. */
     private static final double FAULT_PACE = 5;
     /** Paces that differ by less are alike: a server is tried again once its trouble is nearly forgotten. */
@@ -124,11 +118,11 @@
     private final List<TreeSet<Server>> out = new ArrayList<>();
     private final Map<Long, Call> calls = new HashMap<>();
     private final ArrayList<Call> waiting = new ArrayList<>();
-    private final PriorityQueue<Call> asking = new PriorityQueue<>(Comparator.comparingLong(c -> c.decideAt));
     /** What a second copy may be due of. */
     private final PriorityQueue<Call> copies = new PriorityQueue<>(Comparator.comparingLong(c -> c.copyAt));
     private long now;
     private long wakePending = Long.MAX_VALUE;
+    private final Aperture aperture;
     private final ServedRate served = new ServedRate();
     private final Shedding shedding = new Shedding();
     private final double[] latencyUs;
@@ -145,9 +139,6 @@
     /** When requests were last wanted of all that were full, and of all servers. */
     private long fullWantedAt;
     private long allWantedAt;
-    private double echoUs;
-    private int echoes;
-    private double lateShare;
     private double health = 1;
     private double sendTokens;
     private double usualWorth;
@@ -166,6 +157,7 @@
         this.actions = actions;
         random = new SplittableRandom(seed);
         sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
+        aperture = new Aperture(set.node, set.nodes, FIRST_LIMIT);
         // Both by the same factor: for all nodes together the balance between step and cut stays.
         double pace = StrictMath.pow(set.nodes, LEARN_BY_NODES);
         limitStep = LIMIT_STEP / pace;
@@ -202,6 +194,7 @@
                 }
             }
         }
+        aim();
         if (set.listOnRequest) {
             if (kind == ListKind.CACHED) {
                 askForList();
@@ -224,7 +217,7 @@
             return;
         }
         if (server == null) {
-            server = new Server(entry.id(), numbers++, FIRST_LIMIT / set.nodes, set.classes.size());
+            server = new Server(entry.id(), numbers++, 0, set.classes.size());
             byId.put(server.id, server);
         }
         server.named = lists;
@@ -235,6 +228,7 @@
                 && server.cell == entry.cell() && server.weight == weight) {
             return;
         }
+        aperture.remove(server);
         unlist(server);
         if (started) {
             // A new process: what was counted against the old one says nothing of it.
@@ -253,13 +247,28 @@
         server.weight = weight;
         server.size = StrictMath.pow(weight, SIZE_POWER);
         if (server.state == ServerState.READY) {
-            fleet.add(server);
-            count(server, 1);
-            settle(server);
+            aperture.add(server);
+        }
+    }
+
+    /**
+     * Exception, aperture: where nodes are many, each keeps to a part of the servers, so that what it learns
+     * of one is news: before all of them it would be back at each only when all has changed.
+     */
+    private void aim() {
+        if (aperture.hasMoved()) {
+            aperture.leaving(ready).forEach(this::unlist);
+            for (Server server : aperture.joining(ready)) {
+                server.limit = server.limit > 0 ? server.limit : FIRST_LIMIT / aperture.sharers();
+                fleet.add(server);
+                count(server, 1);
+                settle(server);
+            }
         }
     }
 
     private void leave(Server server) {
+        aperture.remove(server);
         unlist(server);
         server.state = ServerState.GONE;
         // Servers come and go for as long as a node runs: what is gone and holds nothing is forgotten.
@@ -315,7 +324,7 @@
 
     @Override
     public Knowledge knowledge(List<String> ids) {
-        return new Knowledge(Memory.of(ids, byId, FIRST_LIMIT / set.nodes), Memory.of(answers, latencyUs,
+        return new Knowledge(Memory.of(ids, byId, FIRST_LIMIT / aperture.sharers()), Memory.of(answers, latencyUs,
                 leastLatencyUs), ready.size(), ejected.size(), health < THROTTLE_BELOW);
     }
 
@@ -368,6 +377,9 @@
         // By first tries: in a jam clients' retries multiply what is asked.
         sendTokens = Math.min(MOST_TOKENS, sendTokens + (elapsedUs == 0 ? THROTTLE_FLOOR : 0));
         call.value = value(call);
+        if (aperture.arrived(now, leastLatencyUs[request.classIndex()])) {
+            aim();
+        }
         // On a node that is behind the answer will lie unread too: what can't be in time takes none of the
         // processor from the rest. After a single pause that is too much.
         if (isWorthless(call) || shedding.refuses(call, random) || call.cls.lateWorth() == 0
@@ -376,14 +388,6 @@
             giveUp(call);
             return;
         }
-        if (!waiting.isEmpty() || now >= call.deadlineAt || !ask(call)) {
-            place(call);
-        }
-        scheduleWake();
-    }
-
-    /** Sends a request by the draw, or lets it wait. */
-    private void place(Call call) {
         Server server = waiting.isEmpty() && now < call.deadlineAt ? drawForFirstTry(call) : null;
         if (server != null) {
             send(call, server);
@@ -391,6 +395,7 @@
             defer(call);
             serveWaiting();
         }
+        scheduleWake();
     }
 
     /**
@@ -469,7 +474,6 @@
                 learnPace(server, outcome.servedUs() / usual);
             }
             boolean inTime = now - outcome.stallUs() <= call.aimAt;
-            lateShare += MEAN_GAIN * ((result != Result.OK || !inTime ? 1 : 0) - lateShare);
             if (result == Result.OK || result == Result.TIMEOUT) {
                 // An error says nothing of crowding, nor does work that takes longer than its aim.
                 double least = leastLatencyUs[call.request.classIndex()];
@@ -477,8 +481,7 @@
                 learnHealth(result != Result.OK ? 0 : inTime || longAtBest ? 1 : call.cls.lateWorth());
             }
             adaptLimit(call, attempt, outcome);
-            // What fails at once took no time, but the next one would find no better.
-            rest(server, result == Result.OK ? outcome.servedUs() : Math.max(usual, outcome.servedUs()));
+            rest(server, outcome.servedUs(), result == Result.OK ? 0 : usual);
         }
         if (outcome.requestEnded()) {
             end(call);
@@ -510,35 +513,7 @@
 
     @Override
     public void onProbe(long nowUs, String serverId, Result result, long tookUs, double[] report) {
-        now = nowUs;
-        Server server = byId.get(serverId);
-        if (server == null || !server.asked) {
-            return;
-        }
-        server.asked = false;
-        if (result != Result.OK) {
-            // No count and no ejection by probes: a jammed server drops them and still serves.
-            learnPace(server, CROWDED_BY);
-        } else {
-            echoUs += meanGain(++echoes) * (tookUs - echoUs);
-            learnPace(server, Math.min(FAULT_PACE, tookUs / echoUs));
-        }
-        List<Call> askers = new ArrayList<>(server.askers);
-        server.askers.clear();
-        for (Call call : askers) {
-            if (!call.asking) {
-                continue;
-            }
-            if (result == Result.OK && maySend(call, server)) {
-                call.asking = false;
-                send(call, server);
-            } else if (--call.asksOut == 0) {
-                call.asking = false;
-                place(call);
-            }
-        }
-        serveWaiting();
-        scheduleWake();
+        now = nowUs; // None is asked for: what a process answers beside its queue says nothing of that.
     }
 
     @Override
@@ -548,7 +523,6 @@
         if (now >= askListAt) {
             askForList();
         }
-        decideUnanswered();
         sendCopies();
         serveWaiting();
         scheduleWake();
@@ -558,11 +532,7 @@
         while (!copies.isEmpty() && copies.peek().ended) {
             copies.poll();
         }
-        while (!asking.isEmpty() && !asking.peek().asking) {
-            asking.poll();
-        }
         long at = waiting.isEmpty() ? askListAt : Math.min(askListAt, now + sweepUs);
-        at = asking.isEmpty() ? at : Math.min(at, asking.peek().decideAt);
         at = copies.isEmpty() ? at : Math.min(at, copies.peek().copyAt);
         if (at < wakePending) {
             wakePending = Math.max(at, now + 1);
@@ -664,6 +634,11 @@
      */
     private void eject(Server server) {
         if (!server.ejected) {
+            if (2 * (ejected.size() + 1) > ready.size()) {
+                // More than its part of the fleet may be well.
+                aperture.widen(now);
+                aim();
+            }
             if (2 * (ejected.size() + 1) > ready.size()) {
                 return;
             }
@@ -693,7 +668,7 @@
         server.history = 0;
         server.ejected = false;
         server.trialsWon = 0;
-        server.limit = FIRST_LIMIT / set.nodes;
+        server.limit = FIRST_LIMIT / aperture.sharers();
         server.restUntil = 0;
     }
 
@@ -730,8 +705,8 @@
         return best;
     }
 
-    private static boolean isCounted(Server server) {
-        return server.state == ServerState.READY && !server.ejected;
+    private boolean isCounted(Server server) {
+        return ready.contains(server) && !server.ejected;
     }
 
     private void log(String line) {
@@ -750,54 +725,6 @@
         return server == null ? lastResort(call) : server;
     }
 
-    /**
-     * Exception, asking: where probes are allowed and nodes outnumber servers, own requests in flight tell
-     * nothing: both servers drawn are probed, and the first to answer gets the request; if neither does
-     * soon, the draw decides as ever.
-     */
-    private boolean ask(Call call) {
-        double usual = latencyUs[call.request.classIndex()];
-        long waitUs = Math.max(3 * set.tickUs, (long) (ASK_FOR * usual));
-        if (!set.probes || set.nodes <= ready.size() || usual == 0 || trial(call) != null
-                || call.aimAt - now < 2 * waitUs
-                || call.worth / usualWorth * lateShare * ASK_GAIN < 2 * set.probePrice) {
-            return false;
-        }
-        Server first = drawByZone(call);
-        Server second = first == null ? null : drawByZone(call);
-        if (second == null || second == first || first.inFlight != second.inFlight
-                || first.faults + second.faults > FAULTY) {
-            return false;
-        }
-        call.asking = true;
-        call.asksOut = 2;
-        call.decideAt = now + waitUs;
-        asking.add(call);
-        probe(first, call);
-        probe(second, call);
-        return true;
-    }
-
-    private void probe(Server server, Call call) {
-        server.askers.removeIf(c -> !c.asking); // They must not pile up should the answer get lost.
-        server.askers.add(call);
-        if (!server.asked) {
-            server.asked = true;
-            actions.probe(server.id);
-        }
-    }
-
-    /** What no probe has answered in time goes by the draws. */
-    private void decideUnanswered() {
-        while (!asking.isEmpty() && (!asking.peek().asking || asking.peek().decideAt <= now)) {
-            Call call = asking.poll();
-            if (call.asking) {
-                call.asking = false;
-                place(call);
-            }
-        }
-    }
-
     private Server drawByZone(Call call) {
         Server server = drawTwo(call, fleet.nearby, fleet.roomyNearby);
         if (fleet.nearby == fleet.everywhere) {
@@ -1062,9 +989,13 @@
         settleRoom(server);
     }
 
-    /** A limit under one is the part of the time in which this node may have a request there. */
-    private void rest(Server server, double heldUs) {
-        server.restUntil = now + (long) (heldUs * Math.max(0, 1 / server.limit - 1));
+    /**
+     * A limit under one is the part of the time in which this node may have a request there; what fails at
+     * once took less, but the next one would find no better.
+     */
+    private void rest(Server server, double heldUs, double leastUs) {
+        server.restUntil = server.limit > 1 ? 0
+                : now + (long) (Math.max(heldUs, leastUs) / server.limit - heldUs);
     }
 
     /** When a server was last wanted while it was full, or all were. */
@@ -1077,7 +1008,7 @@
     private void cutLimit(Call call, int attempt, double cut) {
         Server server = call.servers[attempt];
         if (call.sentAt[attempt] >= server.limitCutAt) {
-            server.limit = Math.max(1.0 / set.nodes, server.limit * (1 - cut));
+            server.limit = Math.max(1 / aperture.sharers(), server.limit * (1 - cut));
             server.limitCutAt = now;
         }
     }
@@ -1205,7 +1136,6 @@
     private void end(Call call) {
         call.ended = true;
         call.waiting = false;
-        call.asking = false;
         for (int i = 0; i < call.attempts && call.outstanding > 0 && set.cancel; i++) {
             if (call.results[i] == null) {
                 actions.cancel(call.request.id(), i);
--- a/src/test/java/vetchpost/decision/ColdServerTest.java
+++ b/src/test/java/vetchpost/decision/ColdServerTest.java
@@ -133,6 +133,7 @@
         set.coldUs = 20_000_000;
         int toCold = 0;
         for (int n = 0; n < set.nodes; n++) {
+            set.node = n;
             Node node = new Node(set, n);
             node.with(10);
             // Two requests a second: all nodes together give each of ten servers twenty.
