Have limits move by the nodes that have a server, not by all nodes

Limits grow by LIMIT_STEP / nodes^0.25: a third of the step with 94 nodes, though since parts of the servers only five have any one. The lines: the constructor's pace, by set.nodes.

Change: the power is taken of Aperture.sharers, anew when the part changes. Four nodes or fewer: as before.

--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -68,7 +68,8 @@
     private static final double BURST = 2.5;
     /** Growth of that least mean with each answer, so that it follows a change of work. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Power of the number of nodes with which both grow: at 0 many learn too slowly, at a half they jam. */
+    /** Power of the number of nodes at a server with which both grow: at 0 many learn too slowly, at a half they
+     * jam. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
@@ -104,8 +105,8 @@
     private final Actions actions;
     private final SplittableRandom random;
     private final long sweepUs;
-    private final double limitStep;
-    private final double limitCut;
+    private double limitStep;
+    private double limitCut;
     private final Map<String, Server> byId = new HashMap<>();
     private int lists;
     private long numbers;
@@ -158,10 +159,6 @@
         random = new SplittableRandom(seed);
         sweepUs = Math.max(MIN_SWEEP_US, 2 * settings.tickUs);
         aperture = new Aperture(set.node, set.nodes, FIRST_LIMIT);
-        // Both by the same factor: for all nodes together the balance between step and cut stays.
-        double pace = StrictMath.pow(set.nodes, LEARN_BY_NODES);
-        limitStep = LIMIT_STEP / pace;
-        limitCut = 1 - StrictMath.pow(1 - LIMIT_CUT, pace);
         latencyUs = new double[set.classes.size()];
         leastLatencyUs = new double[set.classes.size()];
         answers = new int[set.classes.size()];
@@ -257,6 +254,10 @@
      */
     private void aim() {
         if (aperture.hasMoved()) {
+            // Both by the same factor: for all nodes at a server the balance between step and cut stays.
+            double pace = StrictMath.pow(aperture.sharers(), LEARN_BY_NODES);
+            limitStep = LIMIT_STEP / pace;
+            limitCut = 1 - StrictMath.pow(1 - LIMIT_CUT, pace);
             aperture.leaving(ready).forEach(this::unlist);
             for (Server server : aperture.joining(ready)) {
                 server.limit = server.limit > 0 ? server.limit : FIRST_LIMIT / aperture.sharers();
--- a/src/test/java/vetchpost/decision/ApertureTest.java
+++ b/src/test/java/vetchpost/decision/ApertureTest.java
@@ -184,4 +184,21 @@
         }
         assertTrue(ill.size() > 3, "servers sent to: " + ill);
     }
+
+    @Test
+    void limitsGrowAsTheNodesAtAServerAreManyAndNotAllNodes() {
+        // By all of 94 a limit grew by a twentieth for a good answer, where five share a server.
+        Settings set = Node.settings();
+        set.nodes = 94;
+        set.node = 5;
+        Node node = new Node(set, 2).with(60);
+        List<Long> asked = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            asked.add(node.ask(Node.SAFE));
+        }
+        String server = node.last(asked.get(0)).server();
+        node.answer(asked.get(0), Result.OK, 20_000);
+        double grown = node.balancer.knowledge(List.of(server)).servers().get(0).limit();
+        assertTrue(grown > 1.1 && grown < 1.2, "limit as a multiple of the first: " + grown);
+    }
 }
