Warm a node up inside its process before it listens: what came while it was cold lay unread

Seen: with each request logged at its read, sends and answer (29,861 taken), every answer left its node before its request's time, and none was lost; so the losses are in what a node has not read. The log of a restarted node shows where: it listens, and its first real request is read 0.35 to 0.6 s later at 0.44 of a core, the rehearsal's first requests in between.

A machine that is busy makes the processor's time longer in the same way. The lines at fault: Node.start binds first, and the first line of the log, the known list and cold code all come behind it. Ruled out: connections closed as silent or idle (none in the logs), the module (nothing was late that it had).

Change: Node.warmUp goes through 50 requests on a network inside the process (MemoryNetwork), the first line of the log before it; only then the node binds its address, and 16 more go over sockets. A client that comes earlier is refused its connection and goes elsewhere at once, where it had been answered 502.

--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -27,6 +27,10 @@
 
     /** Enough for all classes to be loaded; more make the first answers quicker but the node come later. */
     static final int REHEARSED = 100;
+    /** Here so many go through the process alone, which half as many more would make no quicker ... */
+    private static final int WARM_UP = 50;
+    /** ... and so few over sockets, once the node listens: clients may come then. */
+    private static final int BY_SOCKETS = 16;
     private static final String EXAMPLE = """
             {"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1","limits":{"sockets":1024},
              "known":{"rev":1,"all":true,"targets":[{"uid":"s","endpoint":"127.0.0.1:1","az":"a",
@@ -99,11 +103,11 @@
             return null;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
-        node.start(group, REHEARSED, () -> { }).addListener(done -> {
+        node.warmUp(WARM_UP, () -> node.start(group, BY_SOCKETS, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
                 exit("can't listen: " + done.cause().getMessage(), 1);
             }
-        });
+        }));
         return node;
     }
 
@@ -142,7 +146,8 @@
         EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
         Hangup.handle(() -> { });
         Node node = new Node(Config.parse(EXAMPLE, Map.of()), group.next());
-        group.next().execute(() -> node.start(group, REHEARSED, group::shutdownGracefully));
+        group.next().execute(() -> node.warmUp(WARM_UP,
+                () -> node.start(group, BY_SOCKETS, group::shutdownGracefully)));
     }
 
     static void exit(String reason, int code) {
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -177,7 +177,9 @@
     /** No new connections, and none is kept that owes no answer. */
     public void stopAccepting() {
         closing = true;
-        listening.close();
+        if (listening != null) {
+            listening.close();
+        }
         for (Set<ClientLine> some : List.of(silent, connections)) {
             new ArrayList<>(some).stream().filter(ClientLine::isIdle).forEach(ClientLine::close);
         }
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -22,6 +22,7 @@
 import vetchpost.http.ClientServer;
 import vetchpost.http.ServerPool;
 import vetchpost.net.LoopClock;
+import vetchpost.net.MemoryNetwork;
 import vetchpost.net.Network;
 import vetchpost.net.Sockets;
 import io.netty.channel.ChannelFuture;
@@ -169,6 +170,24 @@
         this(config, loop, Network.SYSTEM, System.currentTimeMillis(), Seams.NONE);
     }
 
+    /**
+     * Goes through so many requests inside the process, before anybody can connect: code that has never run
+     * keeps the loop for up to seconds of a small part of a core, and what a client had sent meanwhile would lie
+     * unread past its time. Then runs {@code then}, which is to start the node.
+     */
+    public void warmUp(int rehearsed, Runnable then) {
+        // A first line takes as long as fifty requests; it must not be the one that says that the node listens.
+        LOG.log(Level.INFO, "warming up");
+        String token = token();
+        clients.setRehearsal(token);
+        new Rehearsal(loop, new MemoryNetwork(clients::open), config, fronts, config.listen(), token, rehearsed,
+                REHEARSE_MS, then).run();
+    }
+
+    private String token() {
+        return Long.toHexString(new SplittableRandom(config.seed()).nextLong());
+    }
+
     /**
      * Takes in the known list, opens the client side and serves; says that it is ready after a rehearsal
      * of so many requests, or at once if there are none. To be called on the loop, as all else here.
@@ -186,7 +205,7 @@
                 if (!config.settings().listOnRequest && config.discovery() != null) {
                     discovery.subscribe();
                 }
-                String token = Long.toHexString(new SplittableRandom(config.seed()).nextLong());
+                String token = token();
                 clients.setRehearsal(token);
                 Runnable serve = () -> {
                     clients.setReady();
--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -395,4 +395,12 @@
         assertTrue(downloaded > gigabyte, downloaded + " bytes");
         assertTrue(process.isAlive());
     }
+
+    @Test
+    void itListensOnlyOnceItIsWarm() throws Exception {
+        start(Fixture.config(discovery, server), "");
+        String said = said();
+        int warming = said.indexOf("warming up");
+        assertTrue(warming >= 0 && warming < said.indexOf("listening on"), said);
+    }
 }
--- /dev/null
+++ b/src/test/java/vetchpost/net/MemoryNetworkTest.java
@@ -0,0 +1,136 @@
+package vetchpost.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Connections inside the process: bytes and ends come over, in order, and nothing is kept. */
+@Timeout(30)
+class MemoryNetworkTest {
+    private EventLoopGroup group;
+    private final List<ByteBuf> passed = new ArrayList<>();
+
+    @BeforeEach
+    void open() {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+    }
+
+    /** Answers each piece with itself, and closes on a full stop. */
+    private final class Echo extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            ByteBuf bytes = (ByteBuf) message;
+            passed.add(bytes);
+            boolean last = bytes.toString(StandardCharsets.US_ASCII).endsWith(".");
+            var writing = ctx.writeAndFlush(bytes);
+            if (last) {
+                writing.addListener(done -> ctx.close());
+            }
+        }
+    }
+
+    private static final class Heard extends ChannelInboundHandlerAdapter {
+        private final StringBuilder text = new StringBuilder();
+        private int completes;
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            text.append(((ByteBuf) message).toString(StandardCharsets.US_ASCII));
+            ((ByteBuf) message).release();
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            completes++;
+        }
+    }
+
+    private Channel connect(Network network, Heard heard) throws Exception {
+        return new Bootstrap().group(group.next()).channelFactory(network::connecting).disableResolver()
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 50)
+                .handler(heard).connect(new InetSocketAddress("127.0.0.1", 1)).sync().channel();
+    }
+
+    private static ByteBuf text(String text) {
+        return Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
+    }
+
+    @Test
+    void whatIsWrittenIsReadInOrderAndTheEndBehindIt() throws Exception {
+        Heard heard = new Heard();
+        Channel channel = connect(new MemoryNetwork(p -> p.addLast(new Echo())), heard);
+        assertTrue(channel.isActive());
+        channel.write(text("a"));
+        channel.writeAndFlush(text("b"));
+        channel.writeAndFlush(text("c."));
+        channel.closeFuture().sync();
+        assertEquals("abc.", heard.text.toString());
+        assertTrue(heard.completes > 0);
+        passed.forEach(bytes -> assertEquals(0, bytes.refCnt(), "a buffer is kept"));
+    }
+
+    @Test
+    void whatIsNotWantedYetWaits() throws Exception {
+        Heard heard = new Heard();
+        MemoryNetwork network = new MemoryNetwork(p -> p.addLast(new Echo()));
+        Channel channel = connect(network, heard);
+        channel.config().setAutoRead(false);
+        // The read that was begun before still takes one.
+        channel.writeAndFlush(text("1")).sync();
+        channel.eventLoop().submit(() -> { }).sync();
+        channel.eventLoop().submit(() -> { }).sync();
+        channel.writeAndFlush(text("2")).sync();
+        channel.eventLoop().submit(() -> { }).sync();
+        channel.eventLoop().submit(() -> { }).sync();
+        assertEquals("1", heard.text.toString());
+        channel.eventLoop().submit(() -> {
+            channel.read();
+            network.readNow(channel);
+        }).sync();
+        assertEquals("12", heard.text.toString());
+        channel.close().sync();
+    }
+
+    @Test
+    void whoClosesEndsTheFarSideToo() throws Exception {
+        List<Channel> far = new ArrayList<>();
+        Channel channel = connect(new MemoryNetwork(p -> far.add(p.channel())), new Heard());
+        channel.eventLoop().submit(() -> { }).sync();
+        assertTrue(far.get(0).isActive());
+        channel.close().sync();
+        far.get(0).closeFuture().sync();
+        assertFalse(far.get(0).isOpen());
+    }
+
+    @Test
+    void nobodyElseListensThere() {
+        assertThrows(UnsupportedOperationException.class, () -> new MemoryNetwork(p -> { }).listening());
+    }
+}
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -460,4 +460,22 @@
             socket.close();
         }
     }
+
+    @Test
+    void aNodeWarmsUpBeforeAnybodyCanConnectAndKeepsNothingOfIt() throws Exception {
+        // Guards the full fleet's herd days: what clients sent to nodes that had only just begun to listen lay
+        // unread past its time while the code was cold.
+        EventLoop loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, first)).toString()));
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        CountDownLatch warm = new CountDownLatch(1);
+        loop.submit(() -> node.warmUp(30, warm::countDown)).get();
+        assertTrue(warm.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never warm");
+        assertEquals(new Node.InHand(0, 0, 0), loop.submit(node::inHand).get());
+        CountDownLatch ready = new CountDownLatch(1);
+        Channel channel = loop.submit(() -> node.start(group, 8, ready::countDown)).get().sync().channel();
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        client = connect(((InetSocketAddress) channel.localAddress()).getPort());
+        assertEquals(200, status(ask(Fixture.request("GET", "/view", 1, "", ""))));
+    }
 }
