--- /dev/null
+++ b/src/test/java/vetchpost/decision/Crew.java
@@ -0,0 +1,220 @@
+package vetchpost.decision;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+
+import vetchpost.decision.Balancer.Actions;
+import vetchpost.decision.Balancer.ListKind;
+import vetchpost.decision.Balancer.Outcome;
+import vetchpost.decision.Balancer.Request;
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.ServerEntry;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Balancer.Settings;
+
+/**
+ * Many modules before servers that work on one request at a time, first come first served, and are cold after a
+ * start: what all nodes together do to one server, by a seed. No network; answers take no time on their way.
+ */
+final class Crew {
+    static final long WORK_US = 60_000;
+    /** Nobody waits longer for an answer. */
+    static final long DEADLINE_US = 1_000_000;
+
+    /** A server: its queue, and the sends that have reached it in the rule's span. */
+    final class Box {
+        final long startedAt;
+        private long busyUntil;
+        private final Deque<Long> span = new ArrayDeque<>();
+        /** Most work sent in any span, over what the rule allows there. */
+        double worst;
+        int sent;
+
+        Box(long startedAt) {
+            this.startedAt = startedAt;
+        }
+
+        /** The least share of its capacity that it may have, by the settings. */
+        private double share() {
+            return startedAt == 0 ? 1 : Math.min(1, settings.coldFrom
+                    + (1 - settings.coldFrom) * (now - startedAt) / (double) settings.coldUs);
+        }
+
+        long take() {
+            sent++;
+            span.add(now);
+            while (span.peek() <= now - settings.fallUs) {
+                span.poll();
+            }
+            if (startedAt > 0 && now < startedAt + settings.coldUs) {
+                worst = Math.max(worst, span.size() * WORK_US / (settings.fallMultiple * share() * settings.fallUs));
+            }
+            busyUntil = Math.max(now, busyUntil) + (long) (WORK_US / share() * (0.5 + random.nextDouble()));
+            return busyUntil;
+        }
+    }
+
+    /** A node's module, its clock and what it has out. */
+    final class Member implements Actions {
+        private final Balancer balancer;
+        private final Map<Long, Integer> attempts = new HashMap<>();
+        private final boolean[] dead = new boolean[1];
+        private long wakeAt = Long.MAX_VALUE;
+
+        Member(int number, long seed) {
+            Settings own = settings(number);
+            balancer = new ServiceQBalancer(own, seed, this);
+            balancer.onServers(now, ListKind.CACHED, list);
+        }
+
+        void ask() {
+            long id = ++requests;
+            attempts.put(id, 0);
+            balancer.onRequest(now, new Request(id, Node.UNSAFE, 0, DEADLINE_US, 0, false));
+        }
+
+        @Override
+        public void send(long requestId, String serverId, long untilUs) {
+            int attempt = attempts.merge(requestId, 1, Integer::sum) - 1;
+            long sentAt = now;
+            long doneAt = boxes.get(serverId).take();
+            boolean inTime = doneAt <= untilUs;
+            at(inTime ? doneAt : untilUs, () -> {
+                if (!dead[0]) {
+                    served += inTime ? 1 : 0;
+                    balancer.onOutcome(now, new Outcome(requestId, attempt, inTime ? Result.OK : Result.TIMEOUT,
+                            now - sentAt, inTime, null));
+                }
+            });
+        }
+
+        @Override
+        public void cancel(long requestId, int attempt) { }
+
+        @Override
+        public void refuse(long requestId, long retryAfterUs) {
+            refused++;
+        }
+
+        @Override
+        public void fail(long requestId) { }
+
+        @Override
+        public void wakeAt(long atUs) {
+            wakeAt = atUs;
+            at(atUs, () -> {
+                if (!dead[0] && wakeAt == atUs) {
+                    wakeAt = Long.MAX_VALUE;
+                    balancer.onWake(now);
+                }
+            });
+        }
+
+        @Override
+        public void probe(String serverId) { }
+
+        @Override
+        public void subscribe() { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    private record Event(long at, long number, Runnable what) { }
+
+    final Settings settings;
+    final Map<String, Box> boxes = new HashMap<>();
+    final List<Member> members = new ArrayList<>();
+    private final SplittableRandom random;
+    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at
+            ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
+    private List<ServerEntry> list = new ArrayList<>();
+    private long number;
+    private long requests;
+    private int named;
+    long now = 1_000_000;
+    int served;
+    int refused;
+
+    /** So many nodes before so many warm servers; they ask nothing yet. */
+    Crew(int nodes, int servers, long seed) {
+        random = new SplittableRandom(seed);
+        settings = settings(0);
+        settings.nodes = nodes;
+        for (int i = 0; i < servers; i++) {
+            add(0);
+        }
+        for (int n = 0; n < nodes; n++) {
+            members.add(new Member(n, random.nextLong()));
+        }
+    }
+
+    private Settings settings(int node) {
+        Settings set = Node.settings();
+        set.nodes = settings == null ? 1 : settings.nodes;
+        set.node = node;
+        set.coldFrom = 0.12;
+        set.coldUs = 23_000_000;
+        set.fallMultiple = 4;
+        set.fallUs = 2_000_000;
+        return set;
+    }
+
+    private void add(long startedAt) {
+        String id = "s" + named++;
+        boxes.put(id, new Box(startedAt));
+        list.add(new ServerEntry(id, 0, named / 8, ServerState.READY, 1, startedAt));
+    }
+
+    private void at(long when, Runnable what) {
+        events.add(new Event(when, number++, what));
+    }
+
+    /** Has a node ask so often from now on, as chance will have it. */
+    void load(int node, double perSecond, long untilUs) {
+        long next = now + (long) (-Math.log(1 - random.nextDouble()) * 1e6 / perSecond);
+        if (next < untilUs) {
+            at(next, () -> {
+                members.get(node).ask();
+                load(node, perSecond, untilUs);
+            });
+        }
+    }
+
+    /** So many of the servers are replaced by cold ones, and all nodes told at once. */
+    void replace(int servers) {
+        list = new ArrayList<>(list.subList(servers, list.size()));
+        for (int i = 0; i < servers; i++) {
+            add(now);
+        }
+        members.forEach(m -> m.balancer.onServers(now, ListKind.FULL, list));
+    }
+
+    /** These nodes are killed and back from nothing, knowing the list. */
+    void restart(int nodes) {
+        for (int n = 0; n < nodes; n++) {
+            members.get(n).dead[0] = true;
+            members.set(n, new Member(n, random.nextLong()));
+        }
+    }
+
+    void run(long untilUs) {
+        while (!events.isEmpty() && events.peek().at <= untilUs) {
+            Event event = events.poll();
+            now = event.at;
+            event.what.run();
+        }
+        now = untilUs;
+    }
+
+    /** The most that any cold server was sent in a span, over what the rule allows. */
+    double worst() {
+        return boxes.values().stream().mapToDouble(b -> b.worst).max().orElse(0);
+    }
+}
