Take in the known list before listening, and don't start a node that is to stop while it warms up

What is left behind the binding: the known list and the first call of discovery, 0.02 s each with cold code, beside the sockets' own first use. And a node that got SIGTERM while it warmed up went on to bind, and would have ended with connections in its queue: the lines are warmUp's last, which started whatever had come.

Change: Node.start takes in the known list and asks for changes before it binds, and warmUp starts nothing once the node is to stop (its test fails without the line: started, and never stopped).

--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -61,6 +61,7 @@
     private final Fronts fronts;
     private Companion companion;
     private boolean rehearsing;
+    private boolean stopping;
     private boolean closed;
 
     /** A core that takes nothing new, and ends once all that it holds is answered. */
@@ -173,7 +174,7 @@
     /**
      * Goes through so many requests inside the process, before anybody can connect: code that has never run
      * keeps the loop for up to seconds of a small part of a core, and what a client had sent meanwhile would lie
-     * unread past its time. Then runs {@code then}, which is to start the node.
+     * unread past its time. Then runs {@code then}, which is to start the node, unless it is to stop by then.
      */
     public void warmUp(int rehearsed, Runnable then) {
         // A first line takes as long as fifty requests; it must not be the one that says that the node listens.
@@ -181,7 +182,11 @@
         String token = token();
         clients.setRehearsal(token);
         new Rehearsal(loop, new MemoryNetwork(clients::open), config, fronts, config.listen(), token, rehearsed,
-                REHEARSE_MS, then).run();
+                REHEARSE_MS, () -> {
+                    if (!stopping) {
+                        then.run();
+                    }
+                }).run();
     }
 
     private String token() {
@@ -193,18 +198,18 @@
      * of so many requests, or at once if there are none. To be called on the loop, as all else here.
      */
     public ChannelFuture start(EventLoopGroup group, int rehearsed, Runnable whenReady) {
+        // Before anybody can connect: it takes as long as some requests.
+        stall.watch();
+        dispatcher.onKnownList(companion == null ? config.known() : companion.begin(config.known(), clock.nowUs()));
+        if (!config.settings().listOnRequest && config.discovery() != null) {
+            discovery.subscribe();
+        }
         ChannelFuture binding = clients.listen(group, config.listen());
         binding.addListener(done -> {
             if (done.isSuccess()) {
                 // Also because a first line needs files of the runtime: out of descriptors it would throw an
                 // Error, in the loop, where nothing but the log would catch it.
                 LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
-                stall.watch();
-                dispatcher.onKnownList(companion == null ? config.known()
-                        : companion.begin(config.known(), clock.nowUs()));
-                if (!config.settings().listOnRequest && config.discovery() != null) {
-                    discovery.subscribe();
-                }
                 String token = token();
                 clients.setRehearsal(token);
                 Runnable serve = () -> {
@@ -294,6 +299,7 @@
 
     /** Stops taking requests after a while and runs {@code done} as soon as all are answered. */
     public void stop(Runnable whenDone) {
+        stopping = true;
         clients.drain();
         Runnable done = companion == null ? whenDone : both(whenDone);
         if (companion != null) {
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -14,6 +14,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import vetchpost.config.Config;
 import vetchpost.http.ClientServer;
@@ -478,4 +479,21 @@
         client = connect(((InetSocketAddress) channel.localAddress()).getPort());
         assertEquals(200, status(ask(Fixture.request("GET", "/view", 1, "", ""))));
     }
+
+    @Test
+    void aNodeThatIsToStopWhileItWarmsUpNeverListens() throws Exception {
+        // What came to it then would be taken by a process that is about to end.
+        EventLoop loop = group.next();
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, first)).toString()));
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        CountDownLatch stopped = new CountDownLatch(1);
+        AtomicBoolean started = new AtomicBoolean();
+        loop.submit(() -> {
+            node.warmUp(30, () -> started.set(true));
+            node.stop(stopped::countDown);
+        }).get();
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never stopped");
+        assertEquals(new Node.InHand(0, 0, 0), loop.submit(node::inHand).get());
+        assertFalse(started.get());
+    }
 }
