Hold by a test how many of a hundred nodes a server is connected to

Each server holds about 90 connections, and with all servers for each node 100 nodes went to each. In Crew, before 60 and 200 servers, through a replacement of a quarter and 70 nodes back from nothing, with one loud node: no more than 24 have ever sent to one server; without parts of the servers the test fails.

--- a/src/test/java/vetchpost/decision/Crew.java
+++ b/src/test/java/vetchpost/decision/Crew.java
@@ -4,9 +4,11 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
+import java.util.Set;
 import java.util.SplittableRandom;
 
 import vetchpost.decision.Balancer.Actions;
@@ -34,7 +36,8 @@
         private final Deque<Long> span = new ArrayDeque<>();
         /** Most work sent in any span, over what the rule allows there. */
         double worst;
-        int sent;
+        /** Which nodes have sent to it: each would hold a connection. */
+        final Set<Integer> nodes = new HashSet<>();
 
         Box(long startedAt) {
             this.startedAt = startedAt;
@@ -46,8 +49,8 @@
                     + (1 - settings.coldFrom) * (now - startedAt) / (double) settings.coldUs);
         }
 
-        long take() {
-            sent++;
+        long take(int node) {
+            nodes.add(node);
             span.add(now);
             while (span.peek() <= now - settings.fallUs) {
                 span.poll();
@@ -65,9 +68,11 @@
         private final Balancer balancer;
         private final Map<Long, Integer> attempts = new HashMap<>();
         private final boolean[] dead = new boolean[1];
+        private final int number;
         private long wakeAt = Long.MAX_VALUE;
 
         Member(int number, long seed) {
+            this.number = number;
             Settings own = settings(number);
             balancer = new ServiceQBalancer(own, seed, this);
             balancer.onServers(now, ListKind.CACHED, list);
@@ -83,7 +88,7 @@
         public void send(long requestId, String serverId, long untilUs) {
             int attempt = attempts.merge(requestId, 1, Integer::sum) - 1;
             long sentAt = now;
-            long doneAt = boxes.get(serverId).take();
+            long doneAt = boxes.get(serverId).take(number);
             boolean inTime = doneAt <= untilUs;
             at(inTime ? doneAt : untilUs, () -> {
                 if (!dead[0]) {
@@ -132,10 +137,10 @@
     final Map<String, Box> boxes = new HashMap<>();
     final List<Member> members = new ArrayList<>();
     private final SplittableRandom random;
-    private final PriorityQueue<Event> events = new PriorityQueue<>((a, b) -> a.at != b.at
+    private final PriorityQueue<Event> due = new PriorityQueue<>((a, b) -> a.at != b.at
             ? Long.compare(a.at, b.at) : Long.compare(a.number, b.number));
     private List<ServerEntry> list = new ArrayList<>();
-    private long number;
+    private long events;
     private long requests;
     private int named;
     long now = 1_000_000;
@@ -173,7 +178,7 @@
     }
 
     private void at(long when, Runnable what) {
-        events.add(new Event(when, number++, what));
+        due.add(new Event(when, events++, what));
     }
 
     /** Has a node ask so often from now on, as chance will have it. */
@@ -205,8 +210,8 @@
     }
 
     void run(long untilUs) {
-        while (!events.isEmpty() && events.peek().at <= untilUs) {
-            Event event = events.poll();
+        while (!due.isEmpty() && due.peek().at <= untilUs) {
+            Event event = due.poll();
             now = event.at;
             event.what.run();
         }
--- a/src/test/java/vetchpost/decision/CrewTest.java
+++ b/src/test/java/vetchpost/decision/CrewTest.java
@@ -51,6 +51,23 @@
         assertTrue(crew.served > 0.78 * asked, crew.served + " served of " + (int) asked);
     }
 
+    @Test
+    void noServerIsConnectedToByMoreNodesThanItCanHold() {
+        // A server of the full fleet's days holds about 90 connections, and 100 nodes went to each.
+        for (int servers : new int[] {60, 200}) {
+            Crew crew = new Crew(NODES, servers, 4);
+            for (int n = 0; n < NODES; n++) {
+                crew.load(n, n == 0 ? 40 : 8, 20 * SECOND_US);
+            }
+            crew.run(10 * SECOND_US);
+            crew.replace(servers / 4);
+            crew.restart(70);
+            crew.run(20 * SECOND_US);
+            int most = crew.boxes.values().stream().mapToInt(b -> b.nodes.size()).max().orElseThrow();
+            assertTrue(most <= 24, servers + " servers: nodes that have ever sent to one: " + most);
+        }
+    }
+
     @Test
     void theSameSeedGivesTheSameRun() {
         int[] served = new int[2];
