--- a/src/main/java/vetchpost/decision/Aperture.java
+++ b/src/main/java/vetchpost/decision/Aperture.java
@@ -85,7 +85,8 @@
 
     /** How many nodes have one server, in the mean; the whole number of them if each has all. */
     double sharers() {
-        return ring.isEmpty() ? nodes : Math.max(1, (double) nodes * Math.min(ring.size(), least()) / ring.size());
+        int each = Math.min(ring.size(), least());
+        return ring.isEmpty() ? nodes : Math.max(1, (double) nodes * each / ring.size());
     }
 
     /** How many servers a node has that is asked for no more than its part. */
@@ -131,8 +132,8 @@
     /**
      * A request has come.
      *
-     * @param workUs how long a server takes for such a one at least; not below 0, and Double.MAX_VALUE if that
-     *     is not known
+     * @param workUs how long a server takes for such a one at least; not below 0, and Double.MAX_VALUE if
+     *     that is not known
      * @return whether the part may have changed
      */
     boolean arrived(long nowUs, double workUs) {
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -68,8 +68,8 @@
     private static final double BURST = 2.5;
     /** Growth of that least mean with each answer, so that it follows a change of work. */
     private static final double LEAST_DRIFT = 1.0001;
-    /** Power of the number of nodes at a server with which both grow: at 0 many learn too slowly, at a half they
-     * jam. */
+    /** Power of the number of nodes at a server with which both grow: at 0 many learn too slowly, at a half
+     * they jam. */
     private static final double LEARN_BY_NODES = 0.25;
     /** Cut of a limit for a request turned away or not answered in time, which is more than slow. */
     private static final double LIMIT_HARD_CUT = 0.3;
@@ -325,8 +325,9 @@
 
     @Override
     public Knowledge knowledge(List<String> ids) {
-        return new Knowledge(Memory.of(ids, byId, FIRST_LIMIT / aperture.sharers()), Memory.of(answers, latencyUs,
-                leastLatencyUs), ready.size(), ejected.size(), health < THROTTLE_BELOW);
+        return new Knowledge(Memory.of(ids, byId, FIRST_LIMIT / aperture.sharers()),
+                Memory.of(answers, latencyUs, leastLatencyUs), ready.size(), ejected.size(),
+                health < THROTTLE_BELOW);
     }
 
     @Override
--- a/src/main/java/vetchpost/net/MemoryChannel.java
+++ b/src/main/java/vetchpost/net/MemoryChannel.java
@@ -19,7 +19,7 @@
 import io.netty.channel.DefaultChannelConfig;
 import io.netty.channel.EventLoop;
 
-/** One end of a connection inside the process; both ends are on one loop. What is written is read in a later task. */
+/** One end of a connection inside the process, both on one loop. What is written is read in a later task. */
 final class MemoryChannel extends AbstractChannel {
     private static final ChannelMetadata METADATA = new ChannelMetadata(false, 16);
     private static final SocketAddress NOWHERE = InetSocketAddress.createUnresolved("memory", 0);
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -173,16 +173,17 @@
 
     /**
      * Goes through so many requests inside the process, before anybody can connect: code that has never run
-     * keeps the loop for up to seconds of a small part of a core, and what a client had sent meanwhile would lie
-     * unread past its time. Then runs {@code then}, which is to start the node, unless it is to stop by then.
+     * keeps the loop for up to seconds of a small part of a core, and what a client had sent meanwhile would
+     * lie unread past its time. Then runs {@code then}, which is to start the node, unless it is to stop
+     * by then.
      */
     public void warmUp(int rehearsed, Runnable then) {
-        // A first line takes as long as fifty requests; it must not be the one that says that the node listens.
+        // A first line takes as long as fifty requests; it must not be the one that says that it listens.
         LOG.log(Level.INFO, "warming up");
         String token = token();
         clients.setRehearsal(token);
-        new Rehearsal(loop, new MemoryNetwork(clients::open), config, fronts, config.listen(), token, rehearsed,
-                REHEARSE_MS, () -> {
+        new Rehearsal(loop, new MemoryNetwork(clients::open), config, fronts, config.listen(), token,
+                rehearsed, REHEARSE_MS, () -> {
                     if (!stopping) {
                         then.run();
                     }
@@ -200,7 +201,8 @@
     public ChannelFuture start(EventLoopGroup group, int rehearsed, Runnable whenReady) {
         // Before anybody can connect: it takes as long as some requests.
         stall.watch();
-        dispatcher.onKnownList(companion == null ? config.known() : companion.begin(config.known(), clock.nowUs()));
+        dispatcher.onKnownList(companion == null ? config.known()
+                : companion.begin(config.known(), clock.nowUs()));
         if (!config.settings().listOnRequest && config.discovery() != null) {
             discovery.subscribe();
         }
--- a/src/test/java/vetchpost/decision/ApertureTest.java
+++ b/src/test/java/vetchpost/decision/ApertureTest.java
@@ -142,9 +142,11 @@
                     node.advance(Math.max(0, SECOND_US / asks - 60_000));
                 }
                 if (second >= 8) {
-                    node.sent.subList(sent, node.sent.size()).forEach(s -> load.merge(s.server(), 1, Integer::sum));
-                    if (n == 47) {
-                        node.sent.subList(sent, node.sent.size()).forEach(s -> byHot.add(s.server()));
+                    for (Node.Sent each : node.sent.subList(sent, node.sent.size())) {
+                        load.merge(each.server(), 1, Integer::sum);
+                        if (n == 47) {
+                            byHot.add(each.server());
+                        }
                     }
                 }
             }
--- a/src/test/java/vetchpost/decision/Crew.java
+++ b/src/test/java/vetchpost/decision/Crew.java
@@ -21,8 +21,9 @@
 import vetchpost.decision.Balancer.Settings;
 
 /**
- * Many modules before servers that work on one request at a time, first come first served, and are cold after a
- * start: what all nodes together do to one server, by a seed. No network; answers take no time on their way.
+ * Many modules before servers that work on one request at a time, first come first served, and are cold
+ * after a start: what all nodes together do to one server, by a seed. No network; answers take no time on
+ * their way.
  */
 final class Crew {
     static final long WORK_US = 60_000;
@@ -56,7 +57,8 @@
                 span.poll();
             }
             if (startedAt > 0 && now < startedAt + settings.coldUs) {
-                worst = Math.max(worst, span.size() * WORK_US / (settings.fallMultiple * share() * settings.fallUs));
+                double most = settings.fallMultiple * share() * settings.fallUs;
+                worst = Math.max(worst, span.size() * WORK_US / most);
             }
             busyUntil = Math.max(now, busyUntil) + (long) (WORK_US / share() * (0.5 + random.nextDouble()));
             return busyUntil;
@@ -93,8 +95,9 @@
             at(inTime ? doneAt : untilUs, () -> {
                 if (!dead[0]) {
                     served += inTime ? 1 : 0;
-                    balancer.onOutcome(now, new Outcome(requestId, attempt, inTime ? Result.OK : Result.TIMEOUT,
-                            now - sentAt, inTime, null));
+                    Result result = inTime ? Result.OK : Result.TIMEOUT;
+                    balancer.onOutcome(now,
+                            new Outcome(requestId, attempt, result, now - sentAt, inTime, null));
                 }
             });
         }
--- a/src/test/java/vetchpost/decision/CrewTest.java
+++ b/src/test/java/vetchpost/decision/CrewTest.java
@@ -15,7 +15,7 @@
     /** Outside CI as many as asked for. */
     private static final int SEEDS = Integer.getInteger("crew.seeds", 12);
 
-    /** What all nodes ask for, as a part of what warm servers can do; one node asks so many times the mean. */
+    /** What all nodes ask for, as a part of what warm servers can do; one asks so many times the mean. */
     private static Crew busy(long seed, double load, int loud, long untilUs) {
         Crew crew = new Crew(NODES, SERVERS, seed);
         double each = load * SERVERS * SECOND_US / Crew.WORK_US / (NODES + loud - 1);
@@ -35,8 +35,8 @@
             crew.replace(18);
             crew.restart(70);
             crew.run(24 * SECOND_US);
-            assertTrue(crew.worst() < 0.6, String.format(Locale.ROOT, "seed %d: %.2f of the rule's limit", seed,
-                    crew.worst()));
+            assertTrue(crew.worst() < 0.6, String.format(Locale.ROOT, "seed %d: %.2f of the rule's limit",
+                    seed, crew.worst()));
             worst = Math.max(worst, crew.worst());
         }
         // They are to help, too: were they left alone, nothing would show here.
--- a/src/test/java/vetchpost/decision/ListCallsTest.java
+++ b/src/test/java/vetchpost/decision/ListCallsTest.java
@@ -14,7 +14,7 @@
 import vetchpost.decision.Balancer.ServerEntry;
 import vetchpost.decision.Balancer.Settings;
 
-/** A hundred nodes before one discovery that works through calls in turn and fails what would wait too long. */
+/** A hundred nodes before one discovery that works through calls in turn and fails what would wait long. */
 class ListCallsTest {
     private static final int NODES = 100;
     private static final long STEP_US = 10_000;
@@ -84,7 +84,8 @@
         long most = 0;
         for (long from : calledAt) {
             if (from >= fromUs) {
-                most = Math.max(most, calledAt.stream().filter(at -> at >= from && at < from + SECOND_US).count());
+                most = Math.max(most, calledAt.stream()
+                        .filter(at -> at >= from && at < from + SECOND_US).count());
             }
         }
         return most;
--- a/src/test/java/vetchpost/decision/ManyNodesTest.java
+++ b/src/test/java/vetchpost/decision/ManyNodesTest.java
@@ -53,7 +53,7 @@
 
     @Test
     void allNodesTogetherKeepToAServersLimit() {
-        // Slow answers, so that the limit of four does not grow; without rests it is one for each of its nodes.
+        // Slow answers, so that the limit of four does not grow; without rests it is one for each node.
         double mean = meanAtServer(150_000, 10_000_000);
         assertTrue(mean > 0.5 && mean <= 4, "requests at each server on average: " + mean);
     }
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -464,10 +464,11 @@
 
     @Test
     void aNodeWarmsUpBeforeAnybodyCanConnectAndKeepsNothingOfIt() throws Exception {
-        // Guards the full fleet's herd days: what clients sent to nodes that had only just begun to listen lay
-        // unread past its time while the code was cold.
+        // Guards the full fleet's herd days: what clients sent to nodes that had only just begun to listen
+        // lay unread past its time while the code was cold.
         EventLoop loop = group.next();
-        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, first)).toString()));
+        String file = Fixture.write(Fixture.config(discovery, first)).toString();
+        Config config = Config.read(Map.of("LB_CONFIG", file));
         Node node = loop.submit(() -> new Node(config, loop)).get();
         CountDownLatch warm = new CountDownLatch(1);
         loop.submit(() -> node.warmUp(30, warm::countDown)).get();
@@ -484,7 +485,8 @@
     void aNodeThatIsToStopWhileItWarmsUpNeverListens() throws Exception {
         // What came to it then would be taken by a process that is about to end.
         EventLoop loop = group.next();
-        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(Fixture.config(discovery, first)).toString()));
+        String file = Fixture.write(Fixture.config(discovery, first)).toString();
+        Config config = Config.read(Map.of("LB_CONFIG", file));
         Node node = loop.submit(() -> new Node(config, loop)).get();
         CountDownLatch stopped = new CountDownLatch(1);
         AtomicBoolean started = new AtomicBoolean();
