--- a/src/main/java/vetchpost/net/MemoryNetwork.java
+++ b/src/main/java/vetchpost/net/MemoryNetwork.java
@@ -8,9 +8,8 @@
 
 /**
  * A network inside the process: whoever connects, to whatever address, is one more connection of one
- * listener, on the same event loop. No socket is opened, and nobody from outside can come. For what is to
- * go through
- * the code of a connection before the node may be reached.
+ * listener, on the same event loop. No socket is opened, and nobody from outside can come. For what is to go
+ * through the code of a connection before the node may be reached.
  */
 public final class MemoryNetwork implements Network {
     private final Consumer<ChannelPipeline> listener;
