Log each connection and request by its number and id, off unless asked for

Change: RequestLog, read by the client side and the core as they are put together; each end of a connection now has its reason.

--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -39,6 +39,7 @@
     private final Runnable listSubscription;
     private final Runnable wholeList;
     private final long doubtUs;
+    private final RequestLog log = new RequestLog();
     private final Balancer balancer;
     private final Map<Long, Held> held = new HashMap<>();
     private final ListIntake intake = new ListIntake();
@@ -195,6 +196,10 @@
         @Override
         public void ended(Result result, Answer answer) {
             over = true;
+            if (log.isOn()) {
+                log.line("ended", RequestLog.id(request.id), "attempt", number, serverId, result, "after",
+                        clock.nowUs() - sentUs, "us", request.over ? "over" : "");
+            }
             request.out--;
             request.mayHaveRun |= !result.neverRan;
             if (timer != null) {
@@ -421,6 +426,10 @@
                 arrivedUs + leftUs - Math.min(ANSWER_MARGIN_US, leftUs / ANSWER_MARGIN_PART),
                 takenUs, arrivedUs);
         held.put(request.id(), taken);
+        if (log.isOn()) {
+            log.line("taken", RequestLog.id(taken.id), "class", request.classIndex(), "left",
+                    taken.deadlineUs - takenUs, "us, lay", takenUs - arrivedUs, "us");
+        }
         taken.guard = clock.at(arrivedUs + leftUs, () -> expire(taken));
         reply.whenGone(() -> leave(taken));
         if (admission == null) {
@@ -454,6 +463,9 @@
     }
 
     private void leave(Held left) {
+        if (log.isOn()) {
+            log.line("left by its client", RequestLog.id(left.id), left.out, "out");
+        }
         left.end();
         enter(left, () -> balancer.onClientGone(clock.nowUs(), left.id));
     }
@@ -462,6 +474,9 @@
     private void expire(Held late) {
         if (!late.over) {
             LOG.log(Level.WARNING, "a request ran out of time unanswered");
+            if (log.isOn()) {
+                log.line("ran out of time", RequestLog.id(late.id));
+            }
             fail(late, Failure.OUT_OF_TIME);
             enter(late, () -> balancer.onClientGone(clock.nowUs(), late.id));
         }
@@ -500,6 +515,10 @@
         Sent sent = new Sent(request, request.sent.size(), serverId, now, until);
         request.sent.add(sent);
         request.out++;
+        if (log.isOn()) {
+            log.line("send", RequestLog.id(requestId), "attempt", sent.number, serverId, "for", until - now,
+                    "us");
+        }
         if (request.over || now >= until) {
             sent.ended(Result.MOOT, null);
             return;
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -12,7 +12,6 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
@@ -70,6 +69,8 @@
     /** Once it begins: what is held and waits is answered, then the connection closed. */
     private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
     private boolean ending;
+    /** Why this side closes it; null until it does. */
+    private String closedFor;
 
     private ClientConnection(ClientServer server, Channel channel) {
         this.server = server;
@@ -101,7 +102,10 @@
     }
 
     @Override
-    public void close() {
+    public void close(String why) {
+        if (closedFor == null) {
+            closedFor = why;
+        }
         channel.close();
     }
 
@@ -109,7 +113,7 @@
     public void closeIfOverdue(long nowNs) {
         if (ending || unwritten > 0) {
             if (nowNs - answeredNs > PATIENCE_NS) {
-                close();
+                close("answer not read");
             }
             return;
         }
@@ -117,17 +121,21 @@
         if (waits && decoder.isMidRequest() && nowNs - (asked ? begunNs : openedNs) > PATIENCE_NS) {
             reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "request not whole in time"));
         } else if (waits && !asked && nowNs - openedNs > PATIENCE_NS) {
-            close();
+            close("silent");
         }
     }
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        server.opened(this);
+        server.opened(this, number, channel);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (server.log().isOn()) {
+            server.log().line("closed", number, closedFor == null ? "by the client" : closedFor,
+                    held == null ? "" : "unanswered", ahead.isEmpty() ? "" : ahead.size() + " not taken");
+        }
         server.closed(this);
         for (Ahead next : ahead) {
             next.http.release();
@@ -162,6 +170,9 @@
         }
         asked = true;
         server.heardFrom(this);
+        if (server.log().isOn()) {
+            server.log().line("whole", number, http.uri(), "txn", http.headers().get("X-Txn"));
+        }
         if (held == null && ahead.isEmpty()) {
             // Not before all is read that has come: behind the request there may be the client's close. A
             // node that is behind would else work mostly for clients that have left, and so stay behind.
@@ -177,11 +188,18 @@
             begunNs = 0;
         } else if (begunNs == 0) {
             begunNs = server.nanos();
+            if (server.log().isOn()) {
+                server.log().line("begun", number);
+            }
         }
     }
 
     private void take(FullHttpRequest http, long arrivedNs, long cost) {
         heldCost = cost;
+        if (server.log().isOn()) {
+            server.log().line("take", number, "txn", http.headers().get("X-Txn"), "read before",
+                    (server.nanos() - arrivedNs) / 1_000, "us");
+        }
         try {
             if (http.decoderResult().isFailure()) {
                 reject(BadRequest.malformed(http.decoderResult().cause()));
@@ -244,7 +262,7 @@
             if (channel instanceof DuplexChannel socket) {
                 socket.shutdownOutput();
             }
-            channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+            channel.eventLoop().schedule(() -> close("rejected"), LINGER_MS, TimeUnit.MILLISECONDS);
         });
     }
 
@@ -261,19 +279,23 @@
         if (!keep) {
             deafness.begin();
             ending = true;
-            writing.addListener(ChannelFutureListener.CLOSE);
+            writing.addListener(written -> close("answered"));
         } else if (!last) {
             // Later, not from here: a long line of requests that can't be taken would go as deep; and not
             // before the answer is written: a client that doesn't read must not have them pile up.
             writing.addListener(written -> channel.eventLoop().execute(this::takeAhead));
         } else if (server.isClosing()) {
-            close();
+            close("stopping");
         }
     }
 
     private ChannelFuture write(FullHttpResponse response) {
         unwritten++;
         answeredNs = server.nanos();
+        if (server.log().isOn()) {
+            server.log().line("answer", number, response.status().code(),
+                    response.headers().get(HttpHeaderNames.RETRY_AFTER, ""));
+        }
         return channel.writeAndFlush(response).addListener(written -> unwritten--);
     }
 
@@ -295,7 +317,7 @@
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!channel.isActive() || cause instanceof IOException) {
             // It broke, or ended within a request: nothing is owed any more.
-            close();
+            close("broken");
             return;
         }
         // A fault of ours: what was taken is still owed its answer.
@@ -303,7 +325,7 @@
         if (held != null) {
             held.failed(Failure.INTERNAL);
         } else {
-            close();
+            close("a fault");
         }
     }
 
--- a/src/main/java/vetchpost/http/ClientLine.java
+++ b/src/main/java/vetchpost/http/ClientLine.java
@@ -20,6 +20,6 @@
     /** Closes it if its client has kept it waiting for too long. */
     void closeIfOverdue(long nowNs);
 
-    /** Closes it as it is. */
-    void close();
+    /** Closes it as it is, for this reason, which the request log tells. */
+    void close(String why);
 }
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -10,6 +10,7 @@
 
 import vetchpost.core.ClientReply;
 import vetchpost.core.ClientRequest;
+import vetchpost.core.RequestLog;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.net.Network;
 import vetchpost.net.Sockets;
@@ -61,6 +62,7 @@
     private final RequestReader reader;
     private final Taker taker;
     private final ClientLine.Opener opener;
+    private final RequestLog log = new RequestLog();
     private final InHand inHand = InHand.partOfHeap();
     /** Open connections that have sent a whole request; those heard from most recently last. */
     private final Set<ClientLine> connections = new LinkedHashSet<>();
@@ -145,7 +147,7 @@
         }
         boolean closed = true;
         while (closed && sockets.areClientsMany()) {
-            closed = closeOldestIdle(connections, now - KEPT_NS);
+            closed = closeOldestIdle(connections, now - KEPT_NS, "kept long");
         }
     }
 
@@ -177,11 +179,15 @@
     /** No new connections, and none is kept that owes no answer. */
     public void stopAccepting() {
         closing = true;
+        if (log.isOn()) {
+            log.line("no longer listening", sockets);
+        }
         if (listening != null) {
             listening.close();
         }
         for (Set<ClientLine> some : List.of(silent, connections)) {
-            new ArrayList<>(some).stream().filter(ClientLine::isIdle).forEach(ClientLine::close);
+            new ArrayList<>(some).stream().filter(ClientLine::isIdle)
+                    .forEach(c -> c.close("stopping"));
         }
     }
 
@@ -251,9 +257,17 @@
         return inHand.bytes();
     }
 
+    /** What becomes of connections and requests, where that is wanted. */
+    public RequestLog log() {
+        return log;
+    }
+
     /** It has been accepted. */
-    public void opened(ClientLine connection) {
+    public void opened(ClientLine connection, long number, Channel channel) {
         sockets.addClient();
+        if (log.isOn()) {
+            log.line("accept", number, channel.remoteAddress(), "at", channel.localAddress(), sockets);
+        }
         if (!sockets.makeClientRoom()) {
             pauseAccepting();
         }
@@ -285,13 +299,14 @@
      */
     private boolean closeOldestIdle() {
         long beforeNs = nanos() - YOUNG_NS;
-        return closeOldestIdle(silent, beforeNs) || closeOldestIdle(connections, beforeNs);
+        return closeOldestIdle(silent, beforeNs, "room, silent")
+                || closeOldestIdle(connections, beforeNs, "room, idle");
     }
 
-    private boolean closeOldestIdle(Set<ClientLine> some, long beforeNs) {
+    private boolean closeOldestIdle(Set<ClientLine> some, long beforeNs, String why) {
         for (ClientLine connection : some) {
             if (connection.isIdle() && connection.restingSinceNs() - beforeNs < 0) {
-                connection.close();
+                connection.close(why);
                 // Counted off here: Netty tells of it only later, and what waits would take it for no room.
                 closed(connection);
                 return true;
@@ -303,6 +318,9 @@
     /** Connections then wait in the system's queue. */
     private void pauseAccepting() {
         if (listening != null) {
+            if (log.isOn()) {
+                log.line("accepting stops", sockets);
+            }
             listening.config().setAutoRead(false);
             loop.schedule(this::acceptLater, ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
         }
@@ -322,6 +340,9 @@
     private void acceptAgain() {
         if (listening != null && listening.isOpen() && !listening.config().isAutoRead()
                 && sockets.isClientRoom()) {
+            if (log.isOn()) {
+                log.line("accepting again", sockets);
+            }
             listening.config().setAutoRead(true);
         }
     }
@@ -330,6 +351,9 @@
     private final class AcceptGuard extends ChannelInboundHandlerAdapter {
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (log.isOn()) {
+                log.line("accepting failed", cause, sockets);
+            }
             // Left alone, the selector would report the same connection without end.
             pauseAccepting();
             sockets.closeIdle();
--- a/src/main/java/vetchpost/net/Sockets.java
+++ b/src/main/java/vetchpost/net/Sockets.java
@@ -97,6 +97,11 @@
         onRoom.run();
     }
 
+    @Override
+    public String toString() {
+        return "clients " + clients + " of " + mostClients + ", all " + (clients + servers) + " of " + most;
+    }
+
     /** How many are open: both sides together. */
     public int open() {
         return clients + servers;
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -109,6 +109,7 @@
     private boolean closing;
     private boolean answeredWhole;
     private int unwritten;
+    private String closedFor;
     private long begunNs;
     private long readNs;
     private long writtenNs;
@@ -146,7 +147,10 @@
     }
 
     @Override
-    public void close() {
+    public void close(String why) {
+        if (closedFor == null) {
+            closedFor = why;
+        }
         channel.close();
     }
 
@@ -164,7 +168,7 @@
                 reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "request not whole in time"));
             } else if (!decoder.isMidRequest() && ahead.isEmpty() && nowNs - restedNs > (asked ? keptNs
                     : headNs)) {
-                close();
+                close("idle");
             }
         } else if ((phase == Phase.BODY || phase == Phase.REST && rest.ready) && ahead.isEmpty()
                 && nowNs - readNs > idleNs) {
@@ -175,7 +179,7 @@
     /** A body makes no progress: its request gets its answer, if there is none yet, and nothing follows. */
     private void tooSlow() {
         if (reply != null && reply.isAnswered()) {
-            close();
+            close("body too slow");
             return;
         }
         BadRequest late = new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "body makes no progress");
@@ -190,7 +194,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        server.opened(this);
+        server.opened(this, number, channel);
     }
 
     @Override
@@ -451,7 +455,7 @@
     /** A request that is in hand already gets this answer, and its node is told that nobody waits for it. */
     private void leaveWith(BadRequest e) {
         if (reply.isAnswered()) {
-            close();
+            close("spoilt");
             return;
         }
         WebReply left = reply;
@@ -485,7 +489,7 @@
         if (channel instanceof DuplexChannel socket) {
             socket.shutdownOutput();
         }
-        channel.eventLoop().schedule(this::close, LINGER_MS, TimeUnit.MILLISECONDS);
+        channel.eventLoop().schedule(() -> close("answered"), LINGER_MS, TimeUnit.MILLISECONDS);
     }
 
     private void becomeDeaf() {
@@ -597,6 +601,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
+        if (server.log().isOn()) {
+            server.log().line("closed", number, closedFor == null ? "by the client" : closedFor);
+        }
         server.closed(this);
         while (!ahead.isEmpty()) {
             poll();
@@ -615,7 +622,7 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
         if (!channel.isActive() || cause instanceof IOException) {
-            close();
+            close("broken");
             return;
         }
         LOG.log(Level.ERROR, "a client's connection failed", cause);
@@ -623,7 +630,7 @@
             reply.mayHaveRun();
             reply.failed(Failure.INTERNAL);
         } else {
-            close();
+            close("a fault");
         }
     }
 }
