Have a test of the network inside the process wait for the first read to begin

Seen once on a busy machine: whatIsNotWantedYetWaits read nothing where it expects the read that was begun at the connection's opening. Cause: the connect's promise succeeds before channelActive, which begins that read, so that the test's own thread could turn reading off first. One more turn of the loop before that; no code changes.

--- a/src/test/java/vetchpost/net/MemoryNetworkTest.java
+++ b/src/test/java/vetchpost/net/MemoryNetworkTest.java
@@ -101,6 +101,8 @@
         Heard heard = new Heard();
         MemoryNetwork network = new MemoryNetwork(p -> p.addLast(new Echo()));
         Channel channel = connect(network, heard);
+        // Its being open is told before its first read begins.
+        channel.eventLoop().submit(() -> { }).sync();
         channel.config().setAutoRead(false);
         // The read that was begun before still takes one.
         channel.writeAndFlush(text("1")).sync();
