Answer what the system has accepted: queues emptied, sockets read before they are closed

Need: a request counts as taken once the machine has it, and some were lost that the node had never read ("0 attempts made").

- ClientServer.pauseAccepting left connections in the queue for as long as all places were taken.
Now for 0.12 s; from then on up to 16 more than are served are accepted, and their requests refused with the time to come back, unless a place is free by then.
- closeOldestIdle, closeIfOverdue and stopAccepting went by what the loop had read.
Now there is a last read before each such end, and after a loop that was held up the first look through the connections closes nothing.
- stopAccepting and moveTo closed the listening socket over its queue.
It is emptied first, and what has only just come has 0.2 s more.
The Acceptor now knows how old its queue may be, and reads at once what lay there.

The listening socket has a class of its own. Worse: in a crowd whose places stay taken, requests are refused after 0.12 s that were served late before.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -66,6 +66,8 @@
     private int unwritten;
     private int bad;
     private boolean asked;
+    /** There were more than are served when it came. */
+    private boolean unwelcome;
     /** Once it begins: what is held and waits is answered, then the connection closed. */
     private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
     private boolean ending;
@@ -101,6 +103,11 @@
         return number;
     }
 
+    @Override
+    public void readNow() {
+        server.readNow(channel);
+    }
+
     @Override
     public void close(String why) {
         if (closedFor == null) {
@@ -127,7 +134,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        server.opened(this, number, channel);
+        unwelcome = server.opened(this, number, channel);
     }
 
     @Override
@@ -178,7 +185,7 @@
             // node that is behind would else work mostly for clients that have left, and so stay behind.
             channel.eventLoop().execute(this::takeAhead);
         }
-        ahead.add(new Ahead(http, now, cost));
+        ahead.add(new Ahead(http, now - server.layNs(), cost));
         channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
     }
 
@@ -214,6 +221,11 @@
                 answer(HttpReply.plain(HttpResponseStatus.OK, "rehearsed"), keepAlive);
                 return;
             }
+            if (unwelcome && server.isOverfull()) {
+                answer(HttpReply.comeBack("too many connections, try again", server.comeBackUs()), false);
+                return;
+            }
+            unwelcome = false;
             ClientRequest request = server.read(http);
             held = new HttpReply(this, keepAlive);
             server.take(request, held, arrivedNs);
--- a/src/main/java/vetchpost/http/ClientLine.java
+++ b/src/main/java/vetchpost/http/ClientLine.java
@@ -20,6 +20,9 @@
     /** Closes it if its client has kept it waiting for too long. */
     void closeIfOverdue(long nowNs);
 
+    /** Reads what the system holds of it, without waiting for the loop. */
+    void readNow();
+
     /** Closes it as it is, for this reason, which the request log tells. */
     void close(String why);
 }
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -5,8 +5,9 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Supplier;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import vetchpost.core.ClientReply;
 import vetchpost.core.ClientRequest;
@@ -14,18 +15,11 @@
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.net.Network;
 import vetchpost.net.Sockets;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -35,11 +29,6 @@
     /** Marks requests of the rehearsal; its value is a token. */
     public static final String REHEARSAL = "X-Rehearsal";
 
-    private static final int BACKLOG = 1_024;
-    /** Connections accepted in one turn of the loop: with few, slow turns leave them waiting for several of
-     * them; but the count of sockets may pass its bound by as many. */
-    private static final int MOST_ACCEPTED = 32;
-    private static final long ACCEPT_AGAIN_MS = 20;
     /** How long an idle connection is kept once there are many: some clients ask once and never close, and
      * what the others may open is spent by that. */
     private static final long KEPT_NS = TimeUnit.MILLISECONDS.toNanos(2_100);
@@ -47,8 +36,8 @@
     private static final long YOUNG_NS = TimeUnit.MILLISECONDS.toNanos(100);
     /** How often connections are looked through for those that keep the node waiting. */
     private static final long SWEEP_MS = 200;
-    /** Bytes read at once, at most: what is decoded of them is all kept. */
-    private static final int MOST_READ = 16_384;
+    /** How long a new connection may stay without a request after the word to stop. */
+    private static final long LAST_WORD_NS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /** Where requests go. */
     public interface Taker {
@@ -69,7 +58,12 @@
     /** Those that have sent none so far, oldest first. */
     private final Set<ClientLine> silent = new LinkedHashSet<>();
     private ScheduledFuture<?> sweeper;
-    private Channel listening;
+    private Acceptor acceptor;
+    private LongSupplier behindUs = () -> 0;
+    private final long comeBackUs;
+    private long layNs;
+    private long sweptNs;
+    private boolean heldUp;
     private String rehearsal;
     private Supplier<String> serving;
     private boolean ready;
@@ -90,29 +84,16 @@
         this.network = network;
         this.sockets = sockets;
         reader = new RequestReader(settings);
+        comeBackUs = settings.maxRetryAfterUs;
         this.taker = taker;
-        sockets.clientSide(this::closeOldestIdle, this::acceptAgain);
+        sockets.clientSide(this::closeOldestIdle, this::roomAgain);
     }
 
     /** Binds the address; the future tells whether it could be had. */
     public ChannelFuture listen(EventLoopGroup group, SocketAddress address) {
-        ChannelFuture binding = new ServerBootstrap().group(group).channelFactory(network::listening)
-                .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MOST_ACCEPTED))
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.RECVBUF_ALLOCATOR,
-                        // A second time, however little came: so the end behind a request is seen at once.
-                        new AdaptiveRecvByteBufAllocator(512, 2_048, MOST_READ).respectMaybeMoreData(false)
-                                .maxMessagesPerRead(2))
-                .handler(new AcceptGuard())
-                .childHandler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        open(channel.pipeline());
-                    }
-                }).bind(address);
-        listening = binding.channel();
+        acceptor = new Acceptor(loop, network, sockets, log, behindUs);
+        ChannelFuture binding = acceptor.listen(group, address, this::open);
+        sweptNs = nanos();
         sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
         return binding;
     }
@@ -123,24 +104,38 @@
      * @return tells whether it could be had; if not, the one before stays
      */
     public ChannelFuture moveTo(EventLoopGroup group, SocketAddress address) {
-        Channel before = listening;
+        Acceptor before = acceptor;
         ScheduledFuture<?> sweeping = sweeper;
         ChannelFuture binding = listen(group, address);
         binding.addListener(done -> {
             if (done.isSuccess()) {
                 sweeping.cancel(false);
-                before.close();
+                before.finish();
             } else {
                 sweeper.cancel(false);
                 sweeper = sweeping;
-                listening = before;
+                acceptor = before;
             }
         });
         return binding;
     }
 
+    /** How far the loop may be behind its sockets, in microseconds; to be told before it listens. */
+    public void behind(LongSupplier us) {
+        behindUs = us;
+    }
+
     private void sweep() {
         long now = nanos();
+        boolean late = now - sweptNs > TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MS);
+        sweptNs = now;
+        if (late && !heldUp) {
+            // The loop was held up: what came in time lies unread, and what was written waits. By the next
+            // time it has been read.
+            heldUp = true;
+            return;
+        }
+        heldUp = false;
         for (Set<ClientLine> some : List.of(silent, connections)) {
             // A copy: what is closed is taken out at once.
             new ArrayList<>(some).forEach(c -> c.closeIfOverdue(now));
@@ -149,6 +144,9 @@
         while (closed && sockets.areClientsMany()) {
             closed = closeOldestIdle(connections, now - KEPT_NS, "kept long");
         }
+        if (closing) {
+            endIdle();
+        }
     }
 
     /** Requests with this token are part of the rehearsal and answered here, also those that one cut short
@@ -182,20 +180,43 @@
         if (log.isOn()) {
             log.line("no longer listening", sockets);
         }
-        if (listening != null) {
-            listening.close();
+        if (acceptor != null) {
+            acceptor.finish();
         }
-        for (Set<ClientLine> some : List.of(silent, connections)) {
-            new ArrayList<>(some).stream().filter(ClientLine::isIdle)
-                    .forEach(c -> c.close("stopping"));
+        endIdle();
+    }
+
+    /** Ends what owes no answer, but for what has only just come: its request may be on its way. */
+    private void endIdle() {
+        long beforeNs = nanos() - LAST_WORD_NS;
+        for (ClientLine connection : new ArrayList<>(connections)) {
+            end(connection, "stopping");
+        }
+        for (ClientLine connection : new ArrayList<>(silent)) {
+            if (connection.restingSinceNs() - beforeNs < 0) {
+                end(connection, "stopping");
+            }
         }
     }
 
+    /** Closes it if it is idle, also after a last look at what the system holds of it. */
+    private boolean end(ClientLine connection, String why) {
+        if (!connection.isIdle()) {
+            return false;
+        }
+        connection.readNow();
+        if (!connection.isIdle()) {
+            return false;
+        }
+        connection.close(why);
+        return true;
+    }
+
     /** Gives up its timers and its address; connections end as they are. */
     public void close() {
-        if (listening != null) {
+        if (acceptor != null) {
             sweeper.cancel(false);
-            listening.close();
+            acceptor.close();
         }
     }
 
@@ -262,16 +283,49 @@
         return log;
     }
 
-    /** It has been accepted. */
-    public void opened(ClientLine connection, long number, Channel channel) {
+    /**
+     * It has been accepted.
+     *
+     * @return whether it is one more than are served: if that is still so when its request comes, that is refused
+     */
+    public boolean opened(ClientLine connection, long number, Channel channel) {
         sockets.addClient();
         if (log.isOn()) {
             log.line("accept", number, channel.remoteAddress(), "at", channel.localAddress(), sockets);
         }
-        if (!sockets.makeClientRoom()) {
-            pauseAccepting();
+        sockets.makeClientRoom();
+        if (acceptor != null) {
+            acceptor.settle();
         }
         silent.add(connection);
+        boolean unwelcome = isOverfull();
+        layNs = acceptor == null ? 0 : acceptor.layNs();
+        if (layNs > 0) {
+            // Now, so that what has lain there with it is known from what comes later.
+            connection.readNow();
+            layNs = 0;
+        }
+        return unwelcome;
+    }
+
+    /** Reads what the system holds for a connection, without waiting for the loop. */
+    public void readNow(Channel channel) {
+        network.readNow(channel);
+    }
+
+    /** For how long what is read just now may have lain with its connection before that was accepted. */
+    public long layNs() {
+        return layNs;
+    }
+
+    /** Whether there are more connections than are served: what comes on new ones is refused. */
+    public boolean isOverfull() {
+        return sockets.areClientsOver();
+    }
+
+    /** What those are told. */
+    public long comeBackUs() {
+        return comeBackUs;
     }
 
     /** It has sent a whole request. */
@@ -304,9 +358,10 @@
     }
 
     private boolean closeOldestIdle(Set<ClientLine> some, long beforeNs, String why) {
-        for (ClientLine connection : some) {
-            if (connection.isIdle() && connection.restingSinceNs() - beforeNs < 0) {
-                connection.close(why);
+        // Looked for anew each time: what the last look brings puts a connection behind the others.
+        for (ClientLine connection = oldestIdle(some, beforeNs); connection != null;
+                connection = oldestIdle(some, beforeNs)) {
+            if (end(connection, why)) {
                 // Counted off here: Netty tells of it only later, and what waits would take it for no room.
                 closed(connection);
                 return true;
@@ -315,48 +370,18 @@
         return false;
     }
 
-    /** Connections then wait in the system's queue. */
-    private void pauseAccepting() {
-        if (listening != null) {
-            if (log.isOn()) {
-                log.line("accepting stops", sockets);
-            }
-            listening.config().setAutoRead(false);
-            loop.schedule(this::acceptLater, ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
-        }
-    }
-
-    /** One that has become idle since makes room too, and tells nobody. */
-    private void acceptLater() {
-        if (listening.isOpen() && !listening.config().isAutoRead()) {
-            if (sockets.makeClientRoom()) {
-                acceptAgain();
-            } else {
-                loop.schedule(this::acceptLater, ACCEPT_AGAIN_MS, TimeUnit.MILLISECONDS);
-            }
-        }
-    }
-
-    private void acceptAgain() {
-        if (listening != null && listening.isOpen() && !listening.config().isAutoRead()
-                && sockets.isClientRoom()) {
-            if (log.isOn()) {
-                log.line("accepting again", sockets);
+    private static ClientLine oldestIdle(Set<ClientLine> some, long beforeNs) {
+        for (ClientLine connection : some) {
+            if (connection.isIdle() && connection.restingSinceNs() - beforeNs < 0) {
+                return connection;
             }
-            listening.config().setAutoRead(true);
         }
+        return null;
     }
 
-    /** Stops accepting when the system has no descriptor left, whatever the count says. */
-    private final class AcceptGuard extends ChannelInboundHandlerAdapter {
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            if (log.isOn()) {
-                log.line("accepting failed", cause, sockets);
-            }
-            // Left alone, the selector would report the same connection without end.
-            pauseAccepting();
-            sockets.closeIdle();
+    private void roomAgain() {
+        if (acceptor != null) {
+            acceptor.resume();
         }
     }
 }
--- a/src/main/java/vetchpost/http/HttpReply.java
+++ b/src/main/java/vetchpost/http/HttpReply.java
@@ -51,13 +51,18 @@
 
     @Override
     public void refused(long retryAfterUs) {
-        FullHttpResponse response = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, "refused, try again");
+        answer(comeBack("refused, try again", retryAfterUs));
+    }
+
+    /** A refusal, with the time to come back; 0 gives none. */
+    public static FullHttpResponse comeBack(String reason, long retryAfterUs) {
+        FullHttpResponse response = plain(HttpResponseStatus.SERVICE_UNAVAILABLE, reason);
         if (retryAfterUs > 0) {
             String seconds = retryAfterUs % 1_000_000 == 0 ? Long.toString(retryAfterUs / 1_000_000)
                     : Double.toString(Math.ceil(retryAfterUs / 1e3) / 1e3);
             response.headers().set(HttpHeaderNames.RETRY_AFTER, seconds);
         }
-        answer(response);
+        return response;
     }
 
     @Override
--- a/src/main/java/vetchpost/net/MemoryNetwork.java
+++ b/src/main/java/vetchpost/net/MemoryNetwork.java
@@ -32,6 +32,8 @@
 
     @Override
     public void readNow(Channel channel) {
-        ((MemoryChannel) channel).deliver();
+        if (channel instanceof MemoryChannel memory) {
+            memory.deliver();
+        }
     }
 }
--- a/src/main/java/vetchpost/net/Network.java
+++ b/src/main/java/vetchpost/net/Network.java
@@ -24,6 +24,10 @@
         throw new UnsupportedOperationException("no datagrams on this network");
     }
 
-    /** Reads what the system already holds for the channel, and its end, without waiting for the loop. */
+    /**
+     * Reads what the system already holds for the channel, and its end, without waiting for the loop; of a
+     * socket to listen with, some of the connections that wait there. A channel of another network is left
+     * alone.
+     */
     void readNow(Channel channel);
 }
--- a/src/main/java/vetchpost/net/Sockets.java
+++ b/src/main/java/vetchpost/net/Sockets.java
@@ -10,6 +10,11 @@
     /** Descriptors kept back: the runtime's own files and selector, the listening socket, discovery, and
      * those that a close has not given back yet. */
     public static final int RESERVE = 64;
+    /** Of these, what may be taken by clients that are only told to come again: left in the system's queue,
+     * they would be told nothing, and their requests count as taken there. */
+    private static final int TURNED_AWAY = 16;
+    /** What the process itself has open. */
+    private static final int OWN = 32;
     /** Clients may take this share of the rest: what they ask for needs connections to servers. */
     private static final double CLIENTS_SHARE = 0.75;
 
@@ -21,6 +26,7 @@
 
     private final int most;
     private final int mostClients;
+    private final int turnedAway;
     private final int crowd;
     private final int manyClients;
     private BooleanSupplier closeIdleClient = () -> false;
@@ -33,6 +39,7 @@
     public Sockets(int limit) {
         most = Math.max(2, limit - RESERVE);
         mostClients = Math.max(1, (int) (CLIENTS_SHARE * most));
+        turnedAway = Math.max(0, Math.min(TURNED_AWAY, limit - OWN - most));
         crowd = (int) (CROWD_SHARE * limit);
         manyClients = Math.min(mostClients, (int) (MANY_CLIENTS_SHARE * limit));
     }
@@ -52,6 +59,16 @@
         return clients < mostClients && clients + servers < most;
     }
 
+    /** Whether one more client's connection may be accepted, be it to tell it to come again. */
+    public boolean mayAccept() {
+        return clients < mostClients + turnedAway && clients + servers < most + turnedAway;
+    }
+
+    /** Whether there are more clients' connections than are served. */
+    public boolean areClientsOver() {
+        return clients > mostClients || clients + servers > most;
+    }
+
     /** Whether idle ones are better closed than kept. */
     public boolean areClientsMany() {
         return clients > manyClients;
@@ -85,7 +102,7 @@
 
     /** Counts a connection to a server, or says that there is no room for one. */
     public boolean addServer() {
-        if (clients + servers >= most && !closeIdle()) {
+        if (Math.min(clients, mostClients) + servers >= most && !closeIdle()) {
             return false;
         }
         servers++;
--- a/src/main/java/vetchpost/net/SystemNetwork.java
+++ b/src/main/java/vetchpost/net/SystemNetwork.java
@@ -27,6 +27,8 @@
 
     @Override
     public void readNow(Channel channel) {
-        ((AbstractNioChannel.NioUnsafe) channel.unsafe()).read();
+        if (channel.unsafe() instanceof AbstractNioChannel.NioUnsafe system) {
+            system.read();
+        }
     }
 }
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -102,6 +102,7 @@
         clients = new ClientServer(loop, network, sockets, config.settings(),
                 (request, reply, waitedUs) -> dispatcher.take(seams.request(request), seams.reply(reply),
                         waitedUs), fronts == null ? null : fronts.clients());
+        clients.behind(stall::us);
     }
 
     /** The core and its way to servers, by the settings as they are now. */
--- a/src/main/java/vetchpost/simulation/net/SimNetwork.java
+++ b/src/main/java/vetchpost/simulation/net/SimNetwork.java
@@ -42,7 +42,11 @@
 
     @Override
     public void readNow(Channel channel) {
-        ((SimChannel) channel).readNow();
+        if (channel instanceof SimServerChannel listening) {
+            listening.accept();
+        } else if (channel instanceof SimChannel connection) {
+            connection.readNow();
+        }
     }
 
     /** A channel, accepted by this parent if there is one. */
--- a/src/main/java/vetchpost/simulation/net/SimServerChannel.java
+++ b/src/main/java/vetchpost/simulation/net/SimServerChannel.java
@@ -83,9 +83,13 @@
 
     @Override
     public void onReady() {
-        if (closed || !reading || backlog.isEmpty()) {
-            return;
+        if (!closed && reading && !backlog.isEmpty()) {
+            accept();
         }
+    }
+
+    /** Some of those that wait, as the system's would in one turn. */
+    void accept() {
         var handle = unsafe().recvBufAllocHandle();
         handle.reset(config);
         do {
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -101,6 +101,7 @@
     private WebReply reply;
     private boolean keepAlive;
     private boolean asked;
+    private boolean unwelcome;
     private boolean pumping;
     private boolean scheduled;
     private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
@@ -146,6 +147,11 @@
         return restedNs;
     }
 
+    @Override
+    public void readNow() {
+        server.readNow(channel);
+    }
+
     @Override
     public void close(String why) {
         if (closedFor == null) {
@@ -194,7 +200,7 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-        server.opened(this, number, channel);
+        unwelcome = server.opened(this, number, channel);
     }
 
     @Override
@@ -203,7 +209,7 @@
             ReferenceCountUtil.release(message);
             return;
         }
-        readNs = server.nanos();
+        readNs = server.nanos() - server.layNs();
         ahead.add(part);
         aheadBytes += sizeOf(part);
         if (!scheduled) {
@@ -305,6 +311,11 @@
             reject(e);
             return true;
         }
+        if (unwelcome && server.isOverfull()) {
+            reject(crowded());
+            return true;
+        }
+        unwelcome = false;
         cost = InHand.costOf(headBytes(request), 0);
         if (!server.inHand().add(cost)) {
             cost = 0;
@@ -475,7 +486,9 @@
         }
         becomeDeaf();
         ending = true;
-        FullHttpResponse response = HttpReply.plain(e.status(), e.getMessage());
+        FullHttpResponse response = e.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
+                ? HttpReply.comeBack(e.getMessage(), server.comeBackUs())
+                : HttpReply.plain(e.status(), e.getMessage());
         if (e.status().equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
             response.headers().set(HttpHeaderNames.ALLOW, "GET, HEAD, OPTIONS, POST, PUT, PATCH, DELETE");
         }
--- /dev/null
+++ b/src/test/java/vetchpost/node/CrowdedNodeTest.java
@@ -0,0 +1,249 @@
+package vetchpost.node;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+
+import vetchpost.config.Config;
+import vetchpost.net.Sockets;
+import vetchpost.testing.FakePeer;
+import vetchpost.testing.Fixture;
+import com.google.gson.JsonObject;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * What the system has accepted counts as taken, whether the node has read it or not: it is answered when there
+ * are more clients than descriptors, when the loop was held up, and when the node stops.
+ */
+@Timeout(120)
+class CrowdedNodeTest {
+    private static final FakePeer.Script SERVED = FakePeer.answer("200 OK", "", "done");
+    /** Past the time after which one that never asked is closed, and past several sweeps. */
+    private static final long HELD_UP_MS = 2_300;
+
+    private final List<Socket> clients = new ArrayList<>();
+    private EventLoopGroup group;
+    private EventLoop loop;
+    private FakePeer discovery;
+    private FakePeer server;
+    private Node node;
+    private Socket holding;
+    private int port;
+
+    @BeforeEach
+    void open() throws Exception {
+        group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        loop = group.next();
+        discovery = new FakePeer(FakePeer.SILENT);
+        server = new FakePeer(SERVED);
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        for (Socket client : clients) {
+            client.close();
+        }
+        if (holding != null) {
+            holding.close();
+        }
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        discovery.close();
+        server.close();
+    }
+
+    private void start(int descriptors) throws Exception {
+        JsonObject json = Fixture.config(discovery, server);
+        json.getAsJsonObject("limits").addProperty("sockets", descriptors);
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        node = loop.submit(() -> new Node(config, loop)).get();
+        Channel channel = loop.submit(() -> node.start(group, 0, () -> { })).get().sync().channel();
+        port = ((InetSocketAddress) channel.localAddress()).getPort();
+    }
+
+    private Socket connect() throws IOException {
+        Socket socket = new Socket("127.0.0.1", port);
+        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        clients.add(socket);
+        return socket;
+    }
+
+    private Socket ask(int id) throws IOException {
+        Socket socket = connect();
+        ask(socket, id);
+        return socket;
+    }
+
+    private static void ask(Socket socket, int id) throws IOException {
+        FakePeer.write(socket, Fixture.request("GET", "/view", id, "", ""));
+    }
+
+    private static int status(String answer) {
+        assertNotNull(answer, "the connection ended without an answer");
+        return Integer.parseInt(answer.substring(9, 12));
+    }
+
+    /**
+     * Keeps the loop from its sockets and timers until the latch is down, and for so long at least. It does so
+     * while the loop reads, so that timers which have become due come before what lies unread.
+     */
+    private CountDownLatch holdUp(long leastMs) throws Exception {
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch go = new CountDownLatch(1);
+        Channel holder = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+                .childHandler(new ChannelInboundHandlerAdapter() {
+                    @Override
+                    public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
+                        ReferenceCountUtil.release(message);
+                        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(leastMs);
+                        held.countDown();
+                        go.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS);
+                        while (System.nanoTime() < end) {
+                            Thread.onSpinWait();
+                        }
+                    }
+                }).bind("127.0.0.1", 0).sync().channel();
+        holding = new Socket("127.0.0.1", ((InetSocketAddress) holder.localAddress()).getPort());
+        FakePeer.write(holding, "hold");
+        held.await();
+        return go;
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {128, 256})
+    void moreClientsThanDescriptorsAreToldAtOnceToComeAgain(int descriptors) throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        server.script((socket, request) -> {
+            answer.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS);
+            SERVED.run(socket, request);
+        });
+        start(descriptors);
+        int served = (descriptors - Sockets.RESERVE) * 3 / 4;
+        int all = 4 * served;
+        for (int i = 0; i < all; i++) {
+            ask(i);
+        }
+        // Their servers say nothing yet, so that no place becomes free: whoever comes last is told so.
+        for (Socket client : clients.subList(2 * served, all)) {
+            String refused = FakePeer.read(client);
+            assertEquals(503, status(refused));
+            assertEquals("1", FakePeer.header(refused, "Retry-After"));
+            assertEquals("close", FakePeer.header(refused, "Connection"));
+        }
+        answer.countDown();
+        int done = 0;
+        for (Socket client : clients.subList(0, 2 * served)) {
+            done += status(FakePeer.read(client)) == 200 ? 1 : 0;
+        }
+        assertTrue(done > 0, "none was served");
+        // And then there is room again.
+        assertEquals(200, status(FakePeer.read(ask(all))));
+    }
+
+    @Test
+    void whatCameWhileTheLoopWasHeldUpIsReadBeforeAnythingIsClosed() throws Exception {
+        start(1_024);
+        Socket kept = ask(1);
+        assertEquals(200, status(FakePeer.read(kept)));
+        Socket silent = connect();
+        Socket half = connect();
+        String request = Fixture.request("GET", "/view", 2, "", "");
+        FakePeer.write(half, request.substring(0, 40));
+        loop.submit(() -> { }).get();
+        CountDownLatch go = holdUp(HELD_UP_MS);
+        ask(kept, 3);
+        ask(silent, 4);
+        FakePeer.write(half, request.substring(40));
+        ask(5);
+        go.countDown();
+        for (Socket client : clients) {
+            assertEquals(200, status(FakePeer.read(client)), "client " + clients.indexOf(client));
+        }
+    }
+
+    @Test
+    void roomIsNotMadeByAConnectionWhoseRequestLiesUnread() throws Exception {
+        start(Sockets.RESERVE + 8);
+        Socket idle = ask(1);
+        assertEquals(200, status(FakePeer.read(idle)));
+        // Past the time for which what has just been answered is left alone.
+        CountDownLatch go = holdUp(300);
+        for (int i = 2; i < 12; i++) {
+            ask(i);
+        }
+        ask(idle, 12);
+        go.countDown();
+        assertEquals(200, status(FakePeer.read(idle)));
+        for (Socket client : clients.subList(1, clients.size())) {
+            status(FakePeer.read(client));
+        }
+    }
+
+    @Test
+    void whatWaitedInTheQueueIsOlderThanItsReading() throws Exception {
+        start(1_024);
+        CountDownLatch go = holdUp(1_000);
+        for (int i = 0; i < 200; i++) {
+            ask(i);
+        }
+        go.countDown();
+        for (Socket client : clients) {
+            assertEquals(200, status(FakePeer.read(client)));
+            int left = Integer.parseInt(FakePeer.header(server.nextRequest(), "X-Remaining-Ms"));
+            assertTrue(left <= Fixture.REMAINING_MS - 700, "it came a second ago, and has " + left + " ms");
+        }
+    }
+
+    @Test
+    void aRequestThatIsOverWhenItIsReadIsAnswered() throws Exception {
+        start(1_024);
+        Socket client = connect();
+        FakePeer.write(client, Fixture.request("GET", "/view", 1, "", "")
+                .replace("X-Remaining-Ms: " + Fixture.REMAINING_MS, "X-Remaining-Ms: 0"));
+        assertTrue(status(FakePeer.read(client)) >= 500);
+        assertTrue(server.requests.isEmpty(), "sent on");
+    }
+
+    @Test
+    void aNodeThatStopsAnswersWhatItsQueueHolds() throws Exception {
+        start(1_024);
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.stop(stopped::countDown));
+        // Over the time at which it would stop to listen.
+        CountDownLatch go = holdUp(1_000);
+        for (int i = 0; i < 200; i++) {
+            Socket client = connect();
+            if (i % 2 == 0) {
+                ask(client, i);
+            }
+        }
+        go.countDown();
+        for (int i = 0; i < 200; i += 2) {
+            assertEquals(200, status(FakePeer.read(clients.get(i))), "client " + i);
+        }
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never stopped");
+    }
+}
