Wait between the warm-up and listening: what a burst of work owes was paid with the door open

Cause of the requests lost with "0 attempts made".

The warm-up, the known list and the bind are one stretch of work without a wait, stamped 15.393 as a whole; its 0.22 s of the processor at 0.25 of a core are paid in the wait behind it, until 16.26. Clients connect from 15.393 on, and a page has 0.634 s.

Ruled out by the log: accepting was never paused, and no connection was closed as idle, silent or for room, on any node; nothing that a node had handed to the core was answered late; nodes that lived lost none. At fault: Node.warmUp, which ran the start in its own last turn.

Change: the loop waits once, for a millisecond, after the warm-up, takes in the known list, waits again, and then binds; the rehearsal over sockets waits for the first look at who has come. Where a processor is whole this costs 3 ms.

Fails without the change: aNodeHasWaitedAfterItsWarmUpBeforeItListens.

--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -42,6 +42,7 @@
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
+    private static final long WAIT_MS = 1;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 1_500;
 
@@ -60,6 +61,7 @@
     private final LoopClock clock;
     private final Fronts fronts;
     private Companion companion;
+    private boolean prepared;
     private boolean rehearsing;
     private boolean stopping;
     private boolean closed;
@@ -184,29 +186,49 @@
         String token = token();
         clients.setRehearsal(token);
         new Rehearsal(loop, new MemoryNetwork(clients::open), config, fronts, config.listen(), token,
-                rehearsed, REHEARSE_MS, () -> {
-                    if (!stopping) {
-                        then.run();
-                    }
-                }).run();
+                rehearsed, REHEARSE_MS, () -> afterAWait(() -> {
+                    prepare();
+                    afterAWait(then);
+                })).run();
+    }
+
+    /**
+     * Runs it once the loop has waited, however shortly, unless the node is to stop by then. Where a process has a part of a processor, it pays for
+     * a long stretch of work in that wait; what is opened at the stretch's end would stand open unattended
+     * meanwhile.
+     */
+    private void afterAWait(Runnable then) {
+        loop.schedule(() -> {
+            if (!stopping) {
+                then.run();
+            }
+        }, WAIT_MS, TimeUnit.MILLISECONDS);
     }
 
     private String token() {
         return Long.toHexString(new SplittableRandom(config.seed()).nextLong());
     }
 
-    /**
-     * Takes in the known list, opens the client side and serves; says that it is ready after a rehearsal
-     * of so many requests, or at once if there are none. To be called on the loop, as all else here.
-     */
-    public ChannelFuture start(EventLoopGroup group, int rehearsed, Runnable whenReady) {
-        // Before anybody can connect: it takes as long as some requests.
+    /** Takes in the known list, once. Before anybody can connect: it takes as long as some requests. */
+    private void prepare() {
+        if (prepared) {
+            return;
+        }
+        prepared = true;
         stall.watch();
         dispatcher.onKnownList(companion == null ? config.known()
                 : companion.begin(config.known(), clock.nowUs()));
         if (!config.settings().listOnRequest && config.discovery() != null) {
             discovery.subscribe();
         }
+    }
+
+    /**
+     * Takes in the known list, opens the client side and serves; says that it is ready after a rehearsal
+     * of so many requests, or at once if there are none. To be called on the loop, as all else here.
+     */
+    public ChannelFuture start(EventLoopGroup group, int rehearsed, Runnable whenReady) {
+        prepare();
         ChannelFuture binding = clients.listen(group, config.listen());
         binding.addListener(done -> {
             if (done.isSuccess()) {
@@ -228,9 +250,11 @@
                 if (rehearsed == 0) {
                     ready.run();
                 } else {
-                    new Rehearsal(loop, network, config, fronts,
+                    // Not before the first look at who has come meanwhile.
+                    Runnable last = ready;
+                    afterAWait(() -> new Rehearsal(loop, network, config, fronts,
                             (InetSocketAddress) binding.channel().localAddress(),
-                            token, rehearsed, REHEARSE_MS, ready).run();
+                            token, rehearsed, REHEARSE_MS, last).run());
                 }
             }
         });
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.lang.reflect.Proxy;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -15,6 +16,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import vetchpost.config.Config;
 import vetchpost.http.ClientServer;
@@ -25,6 +27,9 @@
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.channel.IoHandler;
+import io.netty.channel.IoHandlerContext;
+import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import org.junit.jupiter.api.AfterEach;
@@ -481,6 +486,50 @@
         assertEquals(200, status(ask(Fixture.request("GET", "/view", 1, "", ""))));
     }
 
+    /** A loop that counts the turns in which it could wait for something to do. */
+    private static IoHandlerFactory counted(AtomicInteger waits) {
+        IoHandlerFactory system = NioIoHandler.newFactory();
+        return executor -> {
+            IoHandler handler = system.newHandler(executor);
+            return (IoHandler) Proxy.newProxyInstance(IoHandler.class.getClassLoader(),
+                    new Class<?>[] {IoHandler.class}, (proxy, method, arguments) -> {
+                        if (method.getName().equals("run") && ((IoHandlerContext) arguments[0]).canBlock()) {
+                            waits.incrementAndGet();
+                        }
+                        return method.invoke(handler, arguments);
+                    });
+        };
+    }
+
+    @Test
+    void aNodeHasWaitedAfterItsWarmUpBeforeItListens() throws Exception {
+        // Guards the full fleet's herd days: a process that has a part of a processor pays for a long stretch
+        // of work in the wait behind it; a socket opened in that stretch stood open, and unread, for a second.
+        AtomicInteger waits = new AtomicInteger();
+        EventLoopGroup counted = new MultiThreadIoEventLoopGroup(1, counted(waits));
+        try {
+            EventLoop loop = counted.next();
+            String file = Fixture.write(Fixture.config(discovery, first)).toString();
+            Config config = Config.read(Map.of("LB_CONFIG", file));
+            Node node = loop.submit(() -> new Node(config, loop)).get();
+            CountDownLatch warm = new CountDownLatch(1);
+            int[] seen = new int[2];
+            loop.submit(() -> {
+                seen[0] = waits.get();
+                node.warmUp(50, () -> {
+                    seen[1] = waits.get();
+                    warm.countDown();
+                });
+            }).get();
+            assertTrue(warm.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never warm");
+            // Once before it takes in the known list, and once more before it listens.
+            assertTrue(seen[1] - seen[0] >= 2, "waits: " + seen[0] + ", then " + seen[1]);
+            loop.submit(node::close).get();
+        } finally {
+            counted.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
     @Test
     void aNodeThatIsToStopWhileItWarmsUpNeverListens() throws Exception {
         // What came to it then would be taken by a process that is about to end.
