Start with as few as 32 descriptors, with one line, in place of refusing under 66

Need: the operators' limits are not told; a node refused to start with fewer than 66 descriptors, and with little more than 64 it served two clients. Counted: a node's process has 11 descriptors open before any connection, and 2 to discovery.

Change: half of a small limit is kept back, 64 at most as before; connections accepted at once follow the limit too (32 from 256 on). Under 128 a line at the start says how many clients are served. Unchanged from 128 on, but that 16 in place of 32 are accepted at once at 128.

--- a/src/main/java/vetchpost/config/Config.java
+++ b/src/main/java/vetchpost/config/Config.java
@@ -115,8 +115,8 @@
         JsonElement sockets = json.has("limits") ? object(json, "limits").get("sockets") : null;
         long value = sockets == null || !sockets.isJsonPrimitive() ? DEFAULT_SOCKETS
                 : whole(sockets.getAsString());
-        if (value < Sockets.RESERVE + 2) {
-            throw new IllegalArgumentException("limits.sockets is under " + (Sockets.RESERVE + 2));
+        if (value < Sockets.LEAST) {
+            throw new IllegalArgumentException("limits.sockets is under " + Sockets.LEAST);
         }
         return (int) Math.min(Integer.MAX_VALUE, value);
     }
--- a/src/main/java/vetchpost/http/Acceptor.java
+++ b/src/main/java/vetchpost/http/Acceptor.java
@@ -27,9 +27,6 @@
  */
 final class Acceptor extends ChannelInboundHandlerAdapter {
     private static final int BACKLOG = 1_024;
-    /** Connections accepted in one turn of the loop: with few, slow turns leave them waiting for several of
-     * them; but the count of sockets may pass its bound by as many. */
-    private static final int MOST_ACCEPTED = 32;
     /** Bytes read at once, at most: what is decoded of them is all kept. */
     private static final int MOST_READ = 16_384;
     private static final long ACCEPT_AGAIN_MS = 20;
@@ -47,6 +44,7 @@
     private final Sockets sockets;
     private final RequestLog log;
     private final LongSupplier behindUs;
+    private final int atOnce;
     private Channel channel;
     private int batch;
     private long accepted;
@@ -69,6 +67,7 @@
         this.loop = loop;
         this.network = network;
         this.sockets = sockets;
+        atOnce = sockets.acceptedAtOnce();
         this.log = log;
         this.behindUs = behindUs;
     }
@@ -77,7 +76,7 @@
     ChannelFuture listen(EventLoopGroup group, SocketAddress address, Opener opener) {
         ChannelFuture binding = new ServerBootstrap().group(group).channelFactory(network::listening)
                 .option(ChannelOption.RECVBUF_ALLOCATOR,
-                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(MOST_ACCEPTED))
+                        new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(atOnce))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.RECVBUF_ALLOCATOR,
@@ -189,7 +188,7 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object connection) {
         accepted++;
-        if (++batch >= MOST_ACCEPTED) {
+        if (++batch >= atOnce) {
             fallBehind(); // What comes in the batches after this one has lain there since now.
         }
         if (behind && accepted - markAt >= BACKLOG) {
@@ -202,7 +201,7 @@
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-        if (batch < MOST_ACCEPTED && !paused) {
+        if (batch < atOnce && !paused) {
             behind = false;
         }
         batch = 0;
--- a/src/main/java/vetchpost/net/Sockets.java
+++ b/src/main/java/vetchpost/net/Sockets.java
@@ -7,9 +7,16 @@
  * idle ones before the system has to refuse one.
  */
 public final class Sockets {
-    /** Descriptors kept back: the runtime's own files and selector, the listening socket, discovery, and
-     * those that a close has not given back yet. */
+    /** Descriptors kept back, or half of them if that is less: the runtime's own files and selector, the
+     * listening socket, discovery, and those that a close has not given back yet. */
     public static final int RESERVE = 64;
+    /** With fewer the runtime itself can't work. */
+    public static final int LEAST = 32;
+    /** From so many on there is nothing that a node has to do without. */
+    private static final int AMPLE = 2 * RESERVE;
+    /** Connections accepted in one turn of the loop: with few, slow turns leave them waiting for several of
+     * them; but the count of sockets may pass its bound by as many. */
+    private static final int MOST_ACCEPTED = 32;
     /** Of these, what may be taken by clients that are only told to come again: left in the system's queue,
      * they would be told nothing, and their requests count as taken there. */
     private static final int TURNED_AWAY = 16;
@@ -24,6 +31,7 @@
     /** From this share on none is kept for a next request: the answer says so, which crosses nothing. */
     private static final double CROWD_SHARE = 1.0 / 4;
 
+    private final int limit;
     private final int most;
     private final int mostClients;
     private final int turnedAway;
@@ -37,7 +45,8 @@
 
     /** Nothing open yet; at most so many descriptors. */
     public Sockets(int limit) {
-        most = Math.max(2, limit - RESERVE);
+        this.limit = limit;
+        most = Math.max(2, limit - Math.min(RESERVE, limit / 2));
         mostClients = Math.max(1, (int) (CLIENTS_SHARE * most));
         turnedAway = Math.max(0, Math.min(TURNED_AWAY, limit - OWN - most));
         crowd = (int) (CROWD_SHARE * limit);
@@ -59,6 +68,21 @@
         return clients < mostClients && clients + servers < most;
     }
 
+    /** Whether there are so few that clients are refused sooner than they would be for want of time. */
+    public boolean areFew() {
+        return limit < AMPLE;
+    }
+
+    /** How many connections are accepted at once at most. */
+    public int acceptedAtOnce() {
+        return Math.max(1, Math.min(MOST_ACCEPTED, limit / 8));
+    }
+
+    /** How many clients are served at once at most. */
+    public int mostClients() {
+        return mostClients;
+    }
+
     /** Whether one more client's connection may be accepted, be it to tell it to come again. */
     public boolean mayAccept() {
         return clients < mostClients + turnedAway && clients + servers < most + turnedAway;
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -215,6 +215,10 @@
             return;
         }
         prepared = true;
+        if (sockets.areFew()) {
+            LOG.log(Level.WARNING, "limits.sockets is small: {0} clients are served at once, others refused",
+                    sockets.mostClients());
+        }
         stall.watch();
         dispatcher.onKnownList(companion == null ? config.known()
                 : companion.begin(config.known(), clock.nowUs()));
