Hold by tests that a thousand nodes and servers are neither refused nor cut

Need: no cap under 1,024 on lists of nodes or servers. Gone through: every constant in core, decision, discovery, config, http, net, node, state, handover, recovery and simulation.

Checked: 1,024 and 1,025 nodes in the settings, peers and servers in the known list at a node's start; the ring's parts with 120 nodes before 600 servers, 1,024 before 1,024 and 1,025 before 1,025.

--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -360,6 +360,11 @@
         }
     }
 
+    /** How many servers it knows, those that drain too. */
+    public int servers() {
+        return dispatcher.known().size();
+    }
+
     /** What it has in hand just now. */
     public InHand inHand() {
         int held = dispatcher.held() + retired.stream().mapToInt(r -> r.dispatcher.held()).sum();
--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -30,7 +30,7 @@
 public final class SimulateCommand implements Callable<Integer> {
     private static final NodeProcess.Planting NONE = loop -> Seams.NONE;
     private static final long MOST_SEEDS = 10_000_000;
-    private static final int MOST_NODES = 200;
+    private static final int MOST_NODES = 2_048;
     private static final long PROGRESS_NS = 1_000_000_000L;
 
     @Spec
--- a/src/test/java/vetchpost/decision/ApertureTest.java
+++ b/src/test/java/vetchpost/decision/ApertureTest.java
@@ -46,7 +46,8 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"94, 60", "100, 200", "14, 60", "50, 20", "7, 200", "200, 3"})
+    @CsvSource({"94, 60", "100, 200", "14, 60", "50, 20", "7, 200", "200, 3", "120, 600", "1024, 1024",
+        "1025, 1025"})
     void eachServerHasAsManyNodesAsAnyOtherButForOne(int nodes, int servers) {
         Map<String, Integer> has = new HashMap<>();
         for (int n = 0; n < nodes; n++) {
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -23,6 +23,7 @@
 import vetchpost.net.Sockets;
 import vetchpost.testing.FakePeer;
 import vetchpost.testing.Fixture;
+import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -36,6 +37,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** The whole node between fake clients, servers and discovery. */
 @Timeout(120)
@@ -486,6 +489,43 @@
         assertEquals(200, status(ask(Fixture.request("GET", "/view", 1, "", ""))));
     }
 
+    @ParameterizedTest
+    @ValueSource(ints = {1_024, 1_025})
+    void aThousandNodesBeforeAThousandServersAreNeitherRefusedNorCut(int many) throws Exception {
+        JsonObject json = Fixture.config(discovery);
+        JsonObject settings = json.getAsJsonObject("settings");
+        settings.addProperty("balancers", many);
+        settings.addProperty("me", many - 1);
+        JsonArray peers = new JsonArray();
+        JsonArray targets = json.getAsJsonObject("known").getAsJsonArray("targets");
+        for (int i = 0; i < many; i++) {
+            peers.add("127.1." + i / 256 + "." + i % 256 + ":7946");
+            JsonObject server = new JsonObject();
+            server.addProperty("uid", "s-" + i);
+            server.addProperty("endpoint", first.address());
+            server.addProperty("az", "a");
+            server.addProperty("model", "m");
+            server.addProperty("pod_group", i / 4);
+            server.addProperty("state", "Ready");
+            server.addProperty("capacity_hint", 1.0);
+            server.addProperty("boot_ms", 0);
+            targets.add(server);
+        }
+        json.add("peers", peers);
+        Config config = Config.read(Map.of("LB_CONFIG", Fixture.write(json).toString()));
+        assertEquals(many, config.known().targets().size());
+        assertEquals(many, config.settings().nodes);
+        assertEquals(many - 1, config.settings().node);
+        EventLoop loop = group.next();
+        Node node = loop.submit(() -> new Node(config, loop)).get();
+        CountDownLatch ready = new CountDownLatch(1);
+        Channel channel = loop.submit(() -> node.start(group, 0, ready::countDown)).get().sync().channel();
+        assertTrue(ready.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never ready");
+        assertEquals(many, loop.submit(node::servers).get());
+        client = connect(((InetSocketAddress) channel.localAddress()).getPort());
+        assertEquals(200, status(ask(Fixture.request("GET", "/view", 1, "", ""))));
+    }
+
     /** A loop that counts the turns in which it could wait for something to do. */
     private static IoHandlerFactory counted(AtomicInteger waits) {
         IoHandlerFactory system = NioIoHandler.newFactory();
