Answer a request whose taking throws, or whose answer can't be put into bytes

Need: any exception or Error in a handler while a request is held must end in an answer. Found by an error thrown in each handler: what threw while a request was taken lost it (the task's exception was only logged, and its client waited), an answer that the encoder could not write left its client waiting, and a fault between a request's reading and its taking closed the connection on it.

Change: a fault while taking is answered 500; an answer that could not be written is followed by a short one, and the connection ends; what has been read whole is taken before a connection that failed ends.

Checked: ClientConnectionTest, six cases; without the change those of taking, of what has been read and of the encoder fail.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -71,6 +71,7 @@
     /** Once it begins: what is held and waits is answered, then the connection closed. */
     private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
     private boolean ending;
+    private boolean answerSpoilt;
     /** Why this side closes it; null until it does. */
     private String closedFor;
 
@@ -231,11 +232,28 @@
             server.take(request, held, arrivedNs);
         } catch (BadRequest e) {
             turnAway(e, http);
+        } catch (RuntimeException | Error e) {
+            // Errors too: there may be no memory for this one, and some for a short answer.
+            LOG.log(Level.ERROR, "a request could not be taken", e);
+            fault();
         } finally {
             http.release();
         }
     }
 
+    /** A fault of ours: what was taken is still owed its answer. */
+    private void fault() {
+        if (held != null) {
+            held.failed(Failure.INTERNAL);
+        } else {
+            answer(faulty(), false);
+        }
+    }
+
+    private static FullHttpResponse faulty() {
+        return HttpReply.plain(HttpResponseStatus.INTERNAL_SERVER_ERROR, "internal fault");
+    }
+
     private void turnAway(BadRequest e, FullHttpRequest http) {
         FullHttpResponse response = bad(e);
         boolean head = http.method().equals(HttpMethod.HEAD);
@@ -291,7 +309,11 @@
         if (!keep) {
             deafness.begin();
             ending = true;
-            writing.addListener(written -> close("answered"));
+            writing.addListener(written -> {
+                if (written.isSuccess()) {
+                    close("answered");
+                }
+            });
         } else if (!last) {
             // Later, not from here: a long line of requests that can't be taken would go as deep; and not
             // before the answer is written: a client that doesn't read must not have them pile up.
@@ -308,7 +330,25 @@
             server.log().line("answer", number, response.status().code(),
                     response.headers().get(HttpHeaderNames.RETRY_AFTER, ""));
         }
-        return channel.writeAndFlush(response).addListener(written -> unwritten--);
+        return channel.writeAndFlush(response).addListener(written -> {
+            unwritten--;
+            if (!written.isSuccess() && channel.isActive()) {
+                notWritten(written.cause());
+            }
+        });
+    }
+
+    /** Nothing of an answer has been written, and its connection is well: it could not be put into bytes. */
+    private void notWritten(Throwable cause) {
+        LOG.log(Level.ERROR, "an answer could not be written", cause);
+        if (answerSpoilt) {
+            close("a fault");
+            return;
+        }
+        answerSpoilt = true;
+        deafness.begin();
+        ending = true;
+        write(closing(faulty())).addListener(written -> close("a fault"));
     }
 
     private void takeAhead() {
@@ -332,12 +372,14 @@
             close("broken");
             return;
         }
-        // A fault of ours: what was taken is still owed its answer.
         LOG.log(Level.ERROR, "a client's connection failed", cause);
         if (held != null) {
-            held.failed(Failure.INTERNAL);
-        } else {
+            fault();
+        } else if (ahead.isEmpty()) {
             close("a fault");
+        } else {
+            // What has been read whole is taken and answered, and nothing behind it.
+            deafness.begin();
         }
     }
 
--- /dev/null
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -0,0 +1,160 @@
+package vetchpost.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+import vetchpost.config.Config;
+import vetchpost.core.Answer;
+import vetchpost.core.ClientReply;
+import vetchpost.core.Failure;
+import vetchpost.net.Network;
+import vetchpost.net.Sockets;
+import vetchpost.testing.FakePeer;
+import vetchpost.testing.Fixture;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundHandlerAdapter;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.util.ReferenceCountUtil;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** An error in any handler of a client's connection costs no request its answer. */
+class ClientConnectionTest {
+    private final List<ClientReply> held = new ArrayList<>();
+    private EmbeddedChannel channel;
+    private ClientServer server;
+    private Throwable thrown;
+
+    @BeforeEach
+    void open() throws Exception {
+        channel = new EmbeddedChannel();
+        Config config;
+        try (FakePeer peer = new FakePeer(FakePeer.SILENT)) {
+            config = Config.read(Map.of("LB_CONFIG", Fixture.write(Fixture.config(peer, peer)).toString()));
+        }
+        server = new ClientServer(channel.eventLoop(), Network.SYSTEM, new Sockets(1_024), config.settings(),
+                (request, reply, waitedUs) -> {
+                    held.add(reply);
+                    if (thrown instanceof RuntimeException fault) {
+                        throw fault;
+                    }
+                    if (thrown instanceof Error fault) {
+                        throw fault;
+                    }
+                });
+        server.open(channel.pipeline());
+        channel.pipeline().fireChannelActive();
+    }
+
+    @AfterEach
+    void close() {
+        channel.finishAndReleaseAll();
+        channel.runPendingTasks();
+        assertEquals(0, server.bytesInHand());
+    }
+
+    private void ask(int id) {
+        channel.writeInbound(Unpooled.copiedBuffer(Fixture.request("GET", "/view", id, "", ""),
+                StandardCharsets.ISO_8859_1));
+        channel.runPendingTasks();
+    }
+
+    private String written() {
+        channel.runPendingTasks();
+        StringBuilder text = new StringBuilder();
+        for (ByteBuf next = channel.readOutbound(); next != null; next = channel.readOutbound()) {
+            text.append(next.toString(StandardCharsets.ISO_8859_1));
+            next.release();
+        }
+        return text.toString();
+    }
+
+    private void assertFault() {
+        String answer = written();
+        assertTrue(answer.startsWith("HTTP/1.1 500 "), answer);
+        assertTrue(answer.endsWith("internal fault\n"), answer);
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void whatCanNotBeTakenIsAnswered(boolean error) {
+        thrown = error ? new OutOfMemoryError("thrown by the test") : new IllegalStateException("by the test");
+        ask(1);
+        assertFault();
+        thrown = null;
+        ask(2);
+        held.get(held.size() - 1).served(new Answer(200, null, new byte[0]));
+        assertTrue(written().startsWith("HTTP/1.1 200 "), "the next one is not served");
+    }
+
+    @Test
+    void anErrorInAHandlerWhileARequestIsHeldAnswersIt() {
+        ask(1);
+        channel.pipeline().fireExceptionCaught(new IllegalStateException("by the test"));
+        assertFault();
+        held.get(0).served(new Answer(200, null, new byte[0]));
+        assertEquals("", written(), "a second answer");
+    }
+
+    @Test
+    void anErrorInAHandlerLosesNothingThatHasBeenRead() {
+        channel.pipeline().fireChannelRead(Unpooled.copiedBuffer(Fixture.request("GET", "/view", 1, "", ""),
+                StandardCharsets.ISO_8859_1));
+        // Read whole, and to be taken once all that has come is read.
+        channel.pipeline().fireExceptionCaught(new IllegalStateException("by the test"));
+        assertTrue(channel.isOpen(), "closed on a request");
+        channel.runPendingTasks();
+        held.get(0).served(new Answer(200, null, new byte[0]));
+        assertTrue(written().startsWith("HTTP/1.1 200 "), "not served");
+        assertFalse(channel.isOpen());
+    }
+
+    /** Throws at so many answers. */
+    private static final class Spoiler extends ChannelOutboundHandlerAdapter {
+        private int left;
+
+        Spoiler(int answers) {
+            left = answers;
+        }
+
+        @Override
+        public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
+            if (message instanceof FullHttpResponse && left-- > 0) {
+                ReferenceCountUtil.release(message);
+                throw new OutOfMemoryError("thrown by the test");
+            }
+            ctx.write(message, promise);
+        }
+    }
+
+    @Test
+    void anAnswerThatCanNotBePutIntoBytesIsAnsweredShort() {
+        channel.pipeline().addBefore(channel.pipeline().lastContext().name(), "spoiler", new Spoiler(1));
+        ask(1);
+        held.get(0).served(new Answer(200, null, "done".getBytes(StandardCharsets.UTF_8)));
+        assertFault();
+        assertFalse(channel.isOpen());
+    }
+
+    @Test
+    void aConnectionOnWhichNothingCanBeWrittenIsEnded() {
+        channel.pipeline().addBefore(channel.pipeline().lastContext().name(), "spoiler", new Spoiler(9));
+        ask(1);
+        held.get(0).failed(Failure.GIVEN_UP);
+        assertEquals("", written());
+        assertFalse(channel.isOpen());
+    }
+}
