--- a/src/test/java/vetchpost/http/ClientConnectionTest.java
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -91,7 +91,7 @@
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void whatCanNotBeTakenIsAnswered(boolean error) {
-        thrown = error ? new OutOfMemoryError("thrown by the test") : new IllegalStateException("by the test");
+        thrown = error ? new LinkageError("thrown by the test") : new IllegalStateException("by the test");
         ask(1);
         assertFault();
         thrown = null;
@@ -134,7 +134,7 @@
         public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
             if (message instanceof FullHttpResponse && left-- > 0) {
                 ReferenceCountUtil.release(message);
-                throw new OutOfMemoryError("thrown by the test");
+                throw new LinkageError("thrown by the test");
             }
             ctx.write(message, promise);
         }
--- a/src/test/java/vetchpost/node/CrowdedNodeTest.java
+++ b/src/test/java/vetchpost/node/CrowdedNodeTest.java
@@ -11,6 +11,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 
 import vetchpost.config.Config;
@@ -227,6 +230,79 @@
         assertTrue(server.requests.isEmpty(), "sent on");
     }
 
+    @Test
+    void whoConnectsWithinFourTenthsOfASecondOfTheWordToStopIsAnswered() throws Exception {
+        start(1_024);
+        Socket kept = ask(99);
+        assertEquals(200, status(FakePeer.read(kept)));
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.stop(stopped::countDown));
+        List<Future<Socket>> comers = new ArrayList<>();
+        ScheduledExecutorService clock = Executors.newSingleThreadScheduledExecutor();
+        try {
+            for (int i = 0; i <= 40; i++) {
+                int id = i;
+                comers.add(clock.schedule(() -> ask(id), 10L * i, TimeUnit.MILLISECONDS));
+            }
+            for (Future<Socket> comer : comers) {
+                String answer = FakePeer.read(comer.get());
+                assertEquals(200, status(answer), "client " + comers.indexOf(comer));
+                assertEquals("close", FakePeer.header(answer, "Connection"));
+            }
+        } finally {
+            clock.shutdownNow();
+        }
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never stopped");
+    }
+
+    @Test
+    void aLongAnswerUnderWayAtTheWordToStopIsWhole() throws Exception {
+        String body = "x".repeat(64 * 1_024);
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch answer = new CountDownLatch(1);
+        server.script((socket, request) -> {
+            asked.countDown();
+            answer.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS);
+            FakePeer.answer("200 OK", "", body).run(socket, request);
+        });
+        start(1_024);
+        Socket client = connect();
+        client.setReceiveBufferSize(4_096);
+        ask(client, 1);
+        asked.await();
+        CountDownLatch stopped = new CountDownLatch(1);
+        loop.execute(() -> node.stop(stopped::countDown));
+        answer.countDown();
+        assertTrue(FakePeer.read(client).endsWith("\r\n\r\n" + body), "not whole");
+        assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never stopped");
+    }
+
+    @Test
+    void whoSendsSixteenAheadAndLeavesCostsNothing() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        server.script((socket, request) -> gone.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
+        start(1_024);
+        Socket client = connect();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 16; i++) {
+            all.append(Fixture.request("GET", "/view", i, "", ""));
+        }
+        FakePeer.write(client, all.toString());
+        server.nextRequest();
+        client.close();
+        // Its one attempt is given up, and the server sees its connection end.
+        FakePeer.soon(server.accepted);
+        gone.countDown();
+        FakePeer.soon(server.ended);
+        assertEquals(0, loop.submit(node::inHand).get().bytes());
+        assertEquals(200, status(answeredBy(FakePeer.answer("200 OK", "", "done"))));
+    }
+
+    private String answeredBy(FakePeer.Script script) throws Exception {
+        server.script(script);
+        return FakePeer.read(ask(77));
+    }
+
     @Test
     void aNodeThatStopsAnswersWhatItsQueueHolds() throws Exception {
         start(1_024);
