Refuse with the time to come back what there is no memory for, where it was 413

Need: what can't be carried is refused so that it may come again; a well-formed request beyond a quarter of the heap was told 413, which clients take for its own fault and the platform for a failure.

Change: 503 with Retry-After, as for any refusal. Also simulate's help and the plan's Javadoc name the nodes that it takes now.

Checked: aRequestForWhichThereIsNoMemoryIsToldToComeAgain fails without it.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -48,6 +48,9 @@
      * back. */
     private static final int MOST_THROWN_AWAY = 256 * 1024;
     private static final String READY = "/ready";
+    /** Not the request's fault: a refusal, which may come again. */
+    private static final BadRequest TOO_MUCH =
+            new BadRequest(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much at once");
 
     /** A request read while an earlier one on its connection still waits for its answer. */
     private record Ahead(FullHttpRequest http, long arrivedNs, long cost) { }
@@ -173,7 +176,7 @@
                 ? size.totalSize() : 0, http.content().readableBytes());
         if (!server.inHand().add(cost)) {
             http.release();
-            reject(new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too much at once"));
+            reject(TOO_MUCH);
             return;
         }
         asked = true;
@@ -273,7 +276,10 @@
                 : HttpReply.plain(HttpResponseStatus.SERVICE_UNAVAILABLE, not);
     }
 
-    private static FullHttpResponse bad(BadRequest e) {
+    private FullHttpResponse bad(BadRequest e) {
+        if (e.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)) {
+            return HttpReply.comeBack(e.getMessage(), server.comeBackUs());
+        }
         FullHttpResponse response = HttpReply.plain(e.status(), e.getMessage());
         if (e.status().equals(HttpResponseStatus.METHOD_NOT_ALLOWED)) {
             response.headers().set(HttpHeaderNames.ALLOW, e.getMessage().replace("use ", ""));
@@ -394,7 +400,7 @@
             int more = message instanceof HttpContent content ? content.content().readableBytes() : 0;
             if (deafness.isDeaf() || !server.inHand().add(more)) {
                 ReferenceCountUtil.release(message);
-                reject(new BadRequest(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "too much at once"));
+                reject(TOO_MUCH);
                 return;
             }
             partCost += more;
--- a/src/main/java/vetchpost/http/InHand.java
+++ b/src/main/java/vetchpost/http/InHand.java
@@ -36,6 +36,11 @@
         return true;
     }
 
+    /** How much there is room for in all. */
+    long most() {
+        return most;
+    }
+
     long bytes() {
         return bytes;
     }
--- a/src/main/java/vetchpost/simulation/Plan.java
+++ b/src/main/java/vetchpost/simulation/Plan.java
@@ -71,7 +71,7 @@
      * same day most nodes are killed in one instant, a rack is lost and back cold in one tick, six in ten
      * servers are replaced within seconds and the list is silent or late, each or all of them by the seed.
      *
-     * @param nodes how many, 1 to 200
+     * @param nodes how many, from 1 on
      */
     public static Plan many(long seed, int nodes) {
         SplittableRandom random = new SplittableRandom(seed * 0x9E3779B97F4A7C15L + 3);
--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -47,7 +47,7 @@
     private Path script;
 
     @Option(names = "--nodes", paramLabel = "N",
-            description = "So many nodes, 1 to 200, before 40 to 60 servers, and what goes wrong then.")
+            description = "So many nodes, 1 to 2048, before 40 to 60 servers, and what goes wrong then.")
     private Integer nodes;
 
     @Option(names = "--jobs", paramLabel = "N",
--- a/src/test/java/vetchpost/http/ClientConnectionTest.java
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -100,6 +100,18 @@
         assertTrue(written().startsWith("HTTP/1.1 200 "), "the next one is not served");
     }
 
+    @Test
+    void aRequestForWhichThereIsNoMemoryIsToldToComeAgain() {
+        long taken = server.inHand().most();
+        assertTrue(server.inHand().add(taken));
+        ask(1);
+        String answer = written();
+        assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
+        assertEquals("1", FakePeer.header(answer, "Retry-After"));
+        server.inHand().remove(taken);
+        assertEquals(0, held.size());
+    }
+
     @Test
     void anErrorInAHandlerWhileARequestIsHeldAnswersIt() {
         ask(1);
