Serve under a number past the settings' last, in place of refusing to start

A node whose me was not under balancers (missing: 1) ended with "bad configuration: node is not among nodes"; nodes that were added since the number was written down, or a settings object without it, are no reason to stay away.

Change: the number is counted round, so that without balancers a node takes itself for the only one, as before it read me.

--- a/src/main/java/vetchpost/config/SettingsReader.java
+++ b/src/main/java/vetchpost/config/SettingsReader.java
@@ -33,7 +33,9 @@
     private Settings settings() {
         Settings set = new Settings();
         set.nodes = (int) whole("balancers", set.nodes);
-        set.node = (int) whole("me", set.node);
+        // A number past the last is no reason to stay away: nodes may have been added since, or the number of
+        // them left out, and two nodes with one part of the servers still serve.
+        set.node = Math.floorMod((int) whole("me", set.node), Math.max(1, set.nodes));
         for (String zone : list("zones")) {
             set.zones.add(zone);
         }
