Explain what became of a request, and why a server gets nothing, from a flight recorder

Change: a Recorder beside the core sees each request's taking, draws, attempts, outcomes and answer; the module says which two it drew and why it gives up, if anybody wants to know, and of a server why it is sent nothing. Off on the platform: a test for null an event and a virtual call a draw.

--- a/src/main/java/vetchpost/control/ControlProver.java
+++ b/src/main/java/vetchpost/control/ControlProver.java
@@ -10,11 +10,13 @@
 
 /** Reads the table {@code [control]} of an operator's file. */
 public final class ControlProver {
-    private static final List<String> KEYS = List.of("socket", "audit", "least-left", "most-shed");
+    private static final List<String> KEYS = List.of("socket", "audit", "least-left", "most-shed", "keep");
     /** What the systems' addresses of Unix sockets hold. */
     private static final int MOST_PATH = 100;
     private static final double LEAST_LEFT = 0.5;
     private static final double MOST_SHED = 0.9;
+    private static final int KEPT = 1_000;
+    private static final int MOST_KEPT = 100_000;
 
     private ControlProver() { }
 
@@ -40,7 +42,8 @@
     private static ControlSettings settings(SectionReader table) {
         table.knows(KEYS);
         return new ControlSettings(path(table, "socket"), path(table, "audit"),
-                table.number("least-left", LEAST_LEFT, 0, 1), table.number("most-shed", MOST_SHED, 0, 1));
+                table.number("least-left", LEAST_LEFT, 0, 1), table.number("most-shed", MOST_SHED, 0, 1),
+                table.whole("keep", KEPT, 0, MOST_KEPT));
     }
 
     private static String path(SectionReader table, String key) {
--- a/src/main/java/vetchpost/control/ControlSettings.java
+++ b/src/main/java/vetchpost/control/ControlSettings.java
@@ -5,5 +5,6 @@
  *
  * @param socket path of the Unix socket
  * @param audit path of the trail
+ * @param keep requests of which is kept what became of them; 0 for none
  */
-public record ControlSettings(String socket, String audit, double leastLeft, double mostShed) { }
+public record ControlSettings(String socket, String audit, double leastLeft, double mostShed, int keep) { }
--- a/src/main/java/vetchpost/control/Desk.java
+++ b/src/main/java/vetchpost/control/Desk.java
@@ -22,6 +22,7 @@
 import vetchpost.control.Leases.Verdict;
 import vetchpost.control.Trail.Entry;
 import vetchpost.control.Trail.Event;
+import vetchpost.recorder.FlightRecorder;
 
 /**
  * What operators' messages come to. One JSON object a message, and one a reply, by {@code docs/control.md}.
@@ -35,7 +36,9 @@
     private static final Set<String> EVERY = Set.of("v", "id", "do");
     private static final Map<String, Set<String>> FIELDS = Map.of("status", Set.of(), "servers", Set.of(),
             "overrides", Set.of(), "undo", Set.of("number", "owner"), "drain", changing("server"),
-            "weight", changing("server", "share"), "shed", changing("class", "share"), "freeze", changing());
+            "weight", changing("server", "share"), "shed", changing("class", "share"), "freeze", changing(),
+            "explain", Set.of("txn", "server", "refused", "last"));
+    private static final long MOST_SPAN_MS = 3_600_000;
 
     private final Gson gson = new GsonBuilder().setStrictness(Strictness.STRICT).create();
     private final Leases leases;
@@ -45,6 +48,7 @@
     private final Runnable changed;
     private final Deque<Runnable> waiting = new ArrayDeque<>();
     private boolean busy;
+    private Explanations explanations;
 
     /** Where entries are kept. */
     public interface Record {
@@ -70,6 +74,11 @@
         this.changed = changed;
     }
 
+    /** Has it explain by this; null for nothing, as at first. */
+    public void explanations(Explanations by) {
+        explanations = by;
+    }
+
     private static Set<String> changing(String... own) {
         Set<String> all = new HashSet<>(Set.of("for", "owner", "reason", "priority", "key", "anyway", "dry"));
         all.addAll(List.of(own));
@@ -120,6 +129,7 @@
             case "status" -> reply.accept(status(asked));
             case "servers" -> reply.accept(servers(asked));
             case "overrides" -> reply.accept(overrides(asked, now.get()));
+            case "explain" -> reply.accept(explain(asked, now.get()));
             case "undo" -> {
                 long number = whole(asked, "number", -1, 1, Long.MAX_VALUE);
                 String owner = text(asked, "owner", null);
@@ -302,6 +312,32 @@
         return json.toString();
     }
 
+    private String explain(JsonObject asked, Now now) {
+        if (explanations == null) {
+            return refusal(asked, "refused", List.of("nothing is recorded: keep = 0 in [control]"));
+        }
+        JsonObject json = answer(asked);
+        if (asked.has("txn")) {
+            String txn = text(asked, "txn", null);
+            if (!txn.matches("[0-9a-fA-F]{1,16}")) {
+                throw new Bad("txn is up to 16 hexadecimal digits");
+            }
+            JsonObject flight = explanations.request(Long.parseUnsignedLong(txn, 16), now);
+            if (flight == null) {
+                return refusal(asked, "refused", List.of("request " + txn + " is not kept: of those that were"
+                        + " served in time at once, one in " + FlightRecorder.SAMPLED + " is"));
+            }
+            json.add("flight", flight);
+        } else if (asked.has("server")) {
+            json.add("reasons", explanations.whyNot(text(asked, "server", null)));
+        } else if (asked.has("refused")) {
+            json.add("counts", explanations.refused(whole(asked, "refused", -1, 1, MOST_SPAN_MS), now));
+        } else {
+            json.add("flights", explanations.last((int) whole(asked, "last", 20, 1, Explanations.MOST), now));
+        }
+        return json.toString();
+    }
+
     private String servers(JsonObject asked) {
         JsonObject json = answer(asked);
         JsonArray all = new JsonArray();
--- /dev/null
+++ b/src/main/java/vetchpost/control/Explanations.java
@@ -0,0 +1,150 @@
+package vetchpost.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Function;
+import java.util.function.Supplier;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+
+import vetchpost.decision.Balancer.Candidate;
+import vetchpost.recorder.Flight;
+import vetchpost.recorder.FlightRecorder;
+import vetchpost.recorder.Refusals;
+
+/** Why the node did what it did, as replies to operators. Reading changes nothing. */
+public final class Explanations {
+    /** Flights that one reply holds at most. */
+    static final int MOST = 100;
+    private static final double US_A_MS = 1_000;
+
+    private final FlightRecorder recorder;
+    private final Function<String, List<String>> standing;
+    private final Supplier<Situation> situation;
+    private final Supplier<Effects> effects;
+
+    /**
+     * Of this record.
+     *
+     * @param standing why the module sends a server nothing or less, in words
+     */
+    public Explanations(FlightRecorder recorder, Function<String, List<String>> standing,
+            Supplier<Situation> situation, Supplier<Effects> effects) {
+        this.recorder = recorder;
+        this.standing = standing;
+        this.situation = situation;
+        this.effects = effects;
+    }
+
+    /** The request of this id, or null if it is not known. */
+    JsonObject request(long id, Desk.Now now) {
+        Flight flight = recorder.find(id);
+        return flight == null ? null : flight(flight, now);
+    }
+
+    /** The last that were refused, failed, were repeated or slow. */
+    JsonArray last(int many, Desk.Now now) {
+        JsonArray all = new JsonArray();
+        recorder.last(Math.min(MOST, many)).forEach(f -> all.add(flight(f, now)));
+        return all;
+    }
+
+    /** What was refused or failed in so long a time, by class and cause. */
+    JsonArray refused(long spanMs, Desk.Now now) {
+        JsonArray all = new JsonArray();
+        for (Refusals.Line line : recorder.refusals().since(now.us(), 1_000 * spanMs)) {
+            JsonObject one = new JsonObject();
+            one.addProperty("count", line.count());
+            one.addProperty("class", className(line.classIndex()));
+            one.addProperty("told", line.refused() ? "refused" : "failed");
+            one.addProperty("cause", line.cause());
+            all.add(one);
+        }
+        return all;
+    }
+
+    /** Why a server gets nothing, or less: operators' words first, then sources', then the module's. */
+    JsonArray whyNot(String server) {
+        List<String> reasons = new ArrayList<>();
+        Situation.Server known = situation.get().servers().stream().filter(s -> s.id().equals(server))
+                .findFirst().orElse(null);
+        if (known == null) {
+            reasons.add("no source names it");
+        } else {
+            if (effects.get().drains(server)) {
+                reasons.add("an override drains it");
+            }
+            if (known.drains()) {
+                reasons.add("a source, a check or the server itself has it drain");
+            }
+            double weight = effects.get().weight(server, known.weight());
+            if (weight < known.weight()) {
+                reasons.add(String.format(Locale.ROOT, "an override has it weigh %.3f of %.3f", weight,
+                        known.weight()));
+            }
+            reasons.addAll(standing.apply(server));
+        }
+        JsonArray all = new JsonArray();
+        reasons.forEach(all::add);
+        return all;
+    }
+
+    private String className(int index) {
+        List<String> names = situation.get().classes();
+        return index < names.size() ? names.get(index) : Integer.toString(index);
+    }
+
+    private JsonObject flight(Flight flight, Desk.Now now) {
+        JsonObject json = new JsonObject();
+        json.addProperty("txn", String.format("%016x", flight.id()));
+        json.addProperty("request", flight.request());
+        json.addProperty("class", className(flight.classIndex()));
+        json.addProperty("taken", now.unixMs() - (now.us() - flight.takenUs()) / 1_000);
+        json.addProperty("lay-ms", flight.layUs() / US_A_MS);
+        json.addProperty("left-ms", flight.leftUs() / US_A_MS);
+        json.addProperty("queued-ms", flight.queuedUs() / US_A_MS);
+        JsonArray attempts = new JsonArray();
+        for (Flight.Attempt attempt : flight.attempts()) {
+            JsonObject one = new JsonObject();
+            one.addProperty("server", attempt.serverId());
+            one.addProperty("after-ms", attempt.afterUs() / US_A_MS);
+            one.addProperty("for-ms", attempt.forUs() / US_A_MS);
+            one.addProperty("outcome", attempt.result() == null ? "out"
+                    : attempt.result().name().toLowerCase(Locale.ROOT));
+            if (attempt.result() != null) {
+                one.addProperty("took-ms", attempt.tookUs() / US_A_MS);
+            }
+            if (attempt.drawn() != null) {
+                JsonArray drawn = new JsonArray();
+                attempt.drawn().forEach(c -> drawn.add(candidate(c)));
+                one.add("drawn", drawn);
+            }
+            attempts.add(one);
+        }
+        json.add("attempts", attempts);
+        json.addProperty("told", flight.told() == null ? "nothing yet"
+                : flight.told().name().toLowerCase(Locale.ROOT));
+        if (flight.told() != null) {
+            json.addProperty("took-ms", flight.tookUs() / US_A_MS);
+        }
+        if (flight.why() != null) {
+            json.addProperty("why", flight.why());
+        }
+        if (flight.retryAfterUs() > 0) {
+            json.addProperty("come-back-ms", flight.retryAfterUs() / US_A_MS);
+        }
+        return json;
+    }
+
+    private static JsonObject candidate(Candidate drawn) {
+        JsonObject json = new JsonObject();
+        json.addProperty("server", drawn.serverId());
+        json.addProperty("weight", drawn.weight());
+        json.addProperty("in-flight", drawn.inFlight());
+        json.addProperty("limit", drawn.limit());
+        json.addProperty("pace", drawn.pace());
+        return json;
+    }
+}
--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -50,6 +50,7 @@
     private Subset subset;
     private Admission admission;
     private Witness witness;
+    private Recorder recorder;
     private boolean advancing;
     private Clock.Timer turn;
     private long turnUs = Long.MAX_VALUE;
@@ -125,6 +126,7 @@
             if (offered) {
                 return; // By a door that has failed: the module has it now, and may have sent it.
             }
+            tell(this, Recorder.Told.REFUSED, retryAfterUs);
             // A time that it may count on comes before what its route says in general.
             reply.refused(retryAfterUs > 0 ? retryAfterUs : bounds.adviseUs(0));
             end();
@@ -187,6 +189,7 @@
             // From here on it takes as long as it takes, and whoever passes it on watches that it goes on.
             timer.cancel();
             request.streaming = true;
+            tell(request, Recorder.Told.SERVED, 0);
             request.end();
             request.reply.served(answer);
             enter(request, () -> balancer.onFirstByte(clock.nowUs(), request.id, number));
@@ -202,6 +205,9 @@
             }
             request.out--;
             request.mayHaveRun |= !result.neverRan;
+            if (recorder != null) {
+                recorder.ended(clock.nowUs(), request.id, number, result, clock.nowUs() - sentUs);
+            }
             if (timer != null) {
                 timer.cancel();
             }
@@ -209,6 +215,7 @@
                 request.leave();
             } else if (result == Result.OK && !request.over) {
                 request.reply.served(answer);
+                tell(request, Recorder.Told.SERVED, 0);
                 request.end();
             } else if (result == Result.ERROR) {
                 request.error = answer;
@@ -283,6 +290,11 @@
         witness = other;
     }
 
+    /** Has this see what becomes of requests from now on; null for nobody. */
+    public void recorder(Recorder other) {
+        recorder = other;
+    }
+
     /** Has requests from now on stand before this door, or before none if it is null. */
     public void admission(Admission door) {
         Admission before = admission;
@@ -402,19 +414,23 @@
      */
     public void take(ClientRequest request, ClientReply reply, long waitedUs) {
         if (held.containsKey(request.id())) {
+            turnedAway(request, Recorder.Door.DUPLICATE);
             reply.failed(Failure.DUPLICATE_ID);
             return;
         }
         RouteBounds bounds = routes.boundsOf(request);
         if (bounds == null) {
+            turnedAway(request, Recorder.Door.PATH);
             reply.failed(Failure.BAD_PATH);
             return;
         }
         if (request.length() > bounds.bodyBytes()) {
+            turnedAway(request, Recorder.Door.LENGTH);
             reply.failed(Failure.TOO_LARGE);
             return;
         }
         if (!bounds.enter()) {
+            turnedAway(request, Recorder.Door.ROUTE);
             reply.refused(bounds.adviseUs(0));
             return;
         }
@@ -430,6 +446,9 @@
             log.line("taken", RequestLog.id(taken.id), "class", request.classIndex(), "left",
                     taken.deadlineUs - takenUs, "us, lay", takenUs - arrivedUs, "us");
         }
+        if (recorder != null) {
+            recorder.taken(takenUs, request, arrivedUs + leftUs - takenUs, takenUs - arrivedUs);
+        }
         taken.guard = clock.at(arrivedUs + leftUs, () -> expire(taken));
         reply.whenGone(() -> leave(taken));
         if (admission == null) {
@@ -446,12 +465,28 @@
         advance();
     }
 
+    private void turnedAway(ClientRequest request, Recorder.Door why) {
+        if (recorder != null) {
+            recorder.turnedAway(clock.nowUs(), request, why);
+        }
+    }
+
+    /** Its client hears this now. */
+    private void tell(Held request, Recorder.Told what, long retryAfterUs) {
+        if (recorder != null) {
+            recorder.told(clock.nowUs(), request.id, what, retryAfterUs);
+        }
+    }
+
     /** Has the module decide on it. */
     private void offer(Held taken) {
         if (taken.offered) {
             return;
         }
         taken.offered = true;
+        if (recorder != null) {
+            recorder.offered(clock.nowUs(), taken.id);
+        }
         enter(taken, () -> {
             ClientRequest request = taken.request;
             long now = clock.nowUs();
@@ -466,6 +501,9 @@
         if (log.isOn()) {
             log.line("left by its client", RequestLog.id(left.id), left.out, "out");
         }
+        if (!left.over) {
+            tell(left, Recorder.Told.LEFT, 0);
+        }
         left.end();
         enter(left, () -> balancer.onClientGone(clock.nowUs(), left.id));
     }
@@ -488,6 +526,7 @@
                 request.tellWhetherRun();
                 request.reply.failed(why);
             }
+            tell(request, Recorder.Told.FAILED, 0);
             request.end();
         }
     }
@@ -515,6 +554,9 @@
         Sent sent = new Sent(request, request.sent.size(), serverId, now, until);
         request.sent.add(sent);
         request.out++;
+        if (recorder != null) {
+            recorder.sent(now, requestId, serverId, until);
+        }
         if (log.isOn()) {
             log.line("send", RequestLog.id(requestId), "attempt", sent.number, serverId, "for", until - now,
                     "us");
@@ -546,6 +588,7 @@
                 request.tellWhetherRun();
                 request.reply.refused(request.bounds.adviseUs(retryAfterUs));
             }
+            tell(request, Recorder.Told.REFUSED, retryAfterUs);
             request.end();
         }
     }
@@ -589,8 +632,32 @@
         LOG.log(Level.INFO, line);
     }
 
+    @Override
+    public boolean explains() {
+        return recorder != null;
+    }
+
+    @Override
+    public void drew(long requestId, Balancer.Candidate first, Balancer.Candidate second) {
+        if (recorder != null) {
+            recorder.drew(requestId, first, second);
+        }
+    }
+
+    @Override
+    public void because(long requestId, Balancer.Why why) {
+        if (recorder != null) {
+            recorder.because(requestId, why);
+        }
+    }
+
     // ---------------------------------------------------------------- what the module knows
 
+    /** Why this server is sent nothing, or less than it might be. */
+    public List<String> standing(String serverId) {
+        return balancer.standing(clock.nowUs(), serverId);
+    }
+
     /** What the module has learned of these servers, and of the classes. */
     public Knowledge knowledge(List<String> serverIds) {
         return balancer.knowledge(serverIds);
--- a/src/main/java/vetchpost/daemon/ControlLoader.java
+++ b/src/main/java/vetchpost/daemon/ControlLoader.java
@@ -15,14 +15,18 @@
 import vetchpost.control.ControlSettings;
 import vetchpost.control.Desk;
 import vetchpost.control.Effects;
+import vetchpost.control.Explanations;
 import vetchpost.control.Judge;
 import vetchpost.control.Leases;
 import vetchpost.control.Shedder;
 import vetchpost.control.Situation;
 import vetchpost.control.Trail;
 import vetchpost.core.RoutePolicy;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.node.Node;
 import vetchpost.operations.AuditFile;
 import vetchpost.operations.ControlSocket;
+import vetchpost.recorder.FlightRecorder;
 import vetchpost.sources.Overrule;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -40,12 +44,14 @@
     private final ExecutorService writer;
     private List<String> classes = List.of();
     private ScheduledFuture<?> expiry;
+    private final int keep;
 
     /** Begins with what held before a restart. */
     ControlLoader(ControlSettings settings, EventLoop loop, Conductor conductor,
             Supplier<Map<String, Long>> counts) {
         this.loop = loop;
         this.conductor = conductor;
+        keep = settings.keep();
         writer = Executors.newSingleThreadExecutor(task -> {
             Thread thread = new Thread(task, "audit");
             thread.setDaemon(true);
@@ -89,6 +95,21 @@
         }, Math.max(0, next - now().us()), TimeUnit.MICROSECONDS);
     }
 
+    /**
+     * Has the node keep what becomes of requests, where the file wants it, and explain it.
+     *
+     * @param settings of its classes, whose aims say from when on an answer is slow
+     */
+    void explain(Node node, Settings settings) {
+        if (keep == 0) {
+            return;
+        }
+        FlightRecorder recorder = new FlightRecorder(keep,
+                settings.classes.stream().mapToLong(c -> c.aimUs()).toArray());
+        node.recorder(recorder);
+        desk.explanations(new Explanations(recorder, node::standing, this::situation, this::effects));
+    }
+
     /** Opens the socket; a node goes on without it where that fails. */
     void open(EventLoopGroup group) {
         try {
--- a/src/main/java/vetchpost/daemon/CtlCommand.java
+++ b/src/main/java/vetchpost/daemon/CtlCommand.java
@@ -37,6 +37,7 @@
             "What is asked for ends by itself; what would leave too little is refused, with figures."},
         footer = {"", "Examples:", "  ctl --node /run/vetchpost/socket servers",
             "  ctl --node /run/vetchpost/socket drain web-7 --for 30m --reason \"disk is full\"",
+            "  ctl --node /run/vetchpost/socket explain --refused 10m",
             "  ctl --node a.sock --node b.sock shed orders --share 0.5 --for 10m --reason \"retry storm\""},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:done at all nodes", "1:a node refused, or a trail is broken",
@@ -142,6 +143,35 @@
         return ask(message);
     }
 
+    @Command(name = "explain", description = {"Tells why: of a request by its id, of a server that gets nothing, of"
+        + " what was", "refused, or of the last requests that were refused, failed, repeated or slow."})
+    int explain(@Parameters(arity = "0..1", paramLabel = "ID",
+            description = "A request's id: up to 16 hexadecimal digits.") String id,
+            @Option(names = "--why-not", paramLabel = "SERVER",
+                    description = "Why this server gets nothing, or less than others.") String server,
+            @Option(names = "--refused", paramLabel = "TIME",
+                    description = "What was refused or failed in so long, by cause: 10m; an hour at most.")
+                    String span,
+            @Option(names = "--last", paramLabel = "N", description = "The last N; 20 if not said, 100 at most.")
+                    Integer last) {
+        int said = (id == null ? 0 : 1) + (server == null ? 0 : 1) + (span == null ? 0 : 1) + (last == null ? 0 : 1);
+        if (said > 1) {
+            throw new ParameterException(spec.commandLine(),
+                    "say one of ID, --why-not, --refused and --last, not " + said);
+        }
+        JsonObject message = message("explain");
+        if (id != null) {
+            message.addProperty("txn", id);
+        } else if (server != null) {
+            message.addProperty("server", server);
+        } else if (span != null) {
+            message.addProperty("refused", millis("--refused", span));
+        } else if (last != null) {
+            message.addProperty("last", last);
+        }
+        return ask(message);
+    }
+
     @Command(name = "audit", description = "Checks that a trail of changes is whole.")
     int audit(@Parameters(paramLabel = "FILE", description = "The file that [control] names.") Path file) {
         List<String> lines;
@@ -170,12 +200,6 @@
     }
 
     private JsonObject message(String verb, Lease lease, String field, String subject, Double share) {
-        Matcher time = TIME.matcher(lease.length);
-        if (!time.matches()) {
-            throw new ParameterException(spec.commandLine(), "--for " + lease.length
-                    + " is no length of time; 30s, 10m or 2h would be");
-        }
-        long second = 1_000;
         JsonObject message = message(verb);
         if (field != null) {
             message.addProperty(field, subject);
@@ -183,11 +207,7 @@
         if (share != null) {
             message.addProperty("share", share);
         }
-        message.addProperty("for", Long.parseLong(time.group(1)) * switch (time.group(2)) {
-            case "s" -> second;
-            case "m" -> 60 * second;
-            default -> 3_600 * second;
-        });
+        message.addProperty("for", millis("--for", lease.length));
         message.addProperty("reason", lease.reason);
         message.addProperty("owner", lease.owner);
         message.addProperty("priority", lease.priority);
@@ -197,6 +217,20 @@
         return message;
     }
 
+    private long millis(String option, String length) {
+        Matcher time = TIME.matcher(length);
+        if (!time.matches()) {
+            throw new ParameterException(spec.commandLine(), option + " " + length
+                    + " is no length of time; 30s, 10m or 2h would be");
+        }
+        long second = 1_000;
+        return Long.parseLong(time.group(1)) * switch (time.group(2)) {
+            case "s" -> second;
+            case "m" -> 60 * second;
+            default -> 3_600 * second;
+        };
+    }
+
     /** Asks the nodes one after the other; a change stops at the first that does not carry it out. */
     private int ask(JsonObject message) {
         if (nodes.isEmpty()) {
@@ -260,6 +294,8 @@
             out().println("refused: " + texts(reply, "why"));
         } else if (reply.has("list")) {
             table(reply);
+        } else if (reply.has("flight") || reply.has("flights") || reply.has("reasons") || reply.has("counts")) {
+            ExplainText.print(out(), reply);
         } else if (reply.has("override")) {
             JsonObject lease = reply.getAsJsonObject("override");
             out().println("override " + lease.get("number") + " holds for " + time(lease) + (texts(reply,
--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -71,6 +71,9 @@
         control = file.control() == null ? null : new ControlLoader(file.control(), loop, conductor,
                 () -> Map.of("requests", (long) node.inHand().requests(), "bytes", node.inHand().bytes(),
                         "sockets", (long) node.inHand().sockets()));
+        if (control != null) {
+            control.explain(node, alone.settings());
+        }
         policy(file, true);
         if (file.recovery() != null) {
             node.companion(RecoveryLoader.load(file.recovery(), alone.settings(), loop, group));
@@ -157,6 +160,10 @@
         Renewal renewal = Renewal.of(loaded.node(), now);
         if (renewal.core()) {
             node.renew(config(now));
+            if (control != null) {
+                // Other classes, other aims: what was kept is of the old ones.
+                control.explain(node, now.settings());
+            }
         }
         front.settle(now.settings(), now.classifier(), now.limits());
         policy(fresh, false);
--- a/src/main/java/vetchpost/decision/Balancer.java
+++ b/src/main/java/vetchpost/decision/Balancer.java
@@ -53,6 +53,14 @@
      */
     default void onPrior(long nowUs, Knowledge prior) { }
 
+    /**
+     * Why this server is sent nothing, or less than it might be: a line a reason, for people; none if it is
+     * drawn as any other.
+     */
+    default List<String> standing(long nowUs, String serverId) {
+        return List.of();
+    }
+
     /** What the module asks of its node. Calls take effect in order, at the time of the event. */
     interface Actions {
         /** Start the next attempt of a request (numbered 0, 1, 2 ...), to be given up at {@code untilUs}. */
@@ -78,6 +86,60 @@
 
         /** A line for the operators. */
         void log(String line);
+
+        /** Whether anybody wants to be told of draws and reasons; asked before they are put together. */
+        default boolean explains() {
+            return false;
+        }
+
+        /** Which servers were drawn for an attempt, before the one of them is sent to; the second may be null. */
+        default void drew(long requestId, Candidate first, Candidate second) { }
+
+        /** Why the refusal or failure that comes next is the answer. */
+        default void because(long requestId, Why why) { }
+    }
+
+    /**
+     * A server as it was drawn.
+     *
+     * @param weight by which it is drawn: its size, less for errors in a row
+     * @param inFlight this node's requests there
+     * @param limit how many this node may have there
+     * @param pace how long it takes for what takes others 1
+     */
+    record Candidate(String serverId, double weight, int inFlight, double limit, double pace) { }
+
+    /** Why a request has its final answer without having been served. */
+    enum Why {
+        /** No answer could come in time, or earn anything, by the time it was read. */
+        TOO_OLD("no answer could be in time when it came"),
+        /** The node refuses a part of what is worth little, since what is worth more finds no room. */
+        SHED("the fleet is full, and what is worth less is refused as it comes"),
+        /** The node itself is behind. */
+        BEHIND("the node was behind, and its answer would have been late"),
+        /** No server had room for it in time. */
+        NO_ROOM("no server had room for it in time"),
+        /** Its time was up after an attempt. */
+        NO_TIME("no time was left for another attempt"),
+        /** It has had as many attempts as may be. */
+        ATTEMPTS("it has had all its attempts"),
+        /** It may have run, and must not run twice. */
+        MAY_HAVE_RUN("it may have run, and must not run twice"),
+        /** Servers no longer know its key. */
+        WINDOW("servers no longer drop repeats of its key"),
+        /** Its route's attempts or retry budget are used up. */
+        ROUTE("its route's attempts, or its retry budget, are used up");
+
+        private final String text;
+
+        Why(String text) {
+            this.text = text;
+        }
+
+        /** In words. */
+        public String text() {
+            return text;
+        }
     }
 
     /** What a server list event holds. */
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -384,10 +384,11 @@
         }
         // On a node that is behind the answer will lie unread too: what can't be in time takes none of the
         // processor from the rest. After a single pause that is too much.
-        if (isWorthless(call) || shedding.refuses(call, random) || call.cls.lateWorth() == 0
-                && request.waitedUs() > sweepUs
-                && call.aimAt - now < request.waitedUs() / 2 + latencyUs[request.classIndex()]) {
-            giveUp(call);
+        Why early = isWorthless(call) ? Why.TOO_OLD : shedding.refuses(call, random) ? Why.SHED
+                : call.cls.lateWorth() == 0 && request.waitedUs() > sweepUs && call.aimAt - now
+                < request.waitedUs() / 2 + latencyUs[request.classIndex()] ? Why.BEHIND : null;
+        if (early != null) {
+            giveUp(call, early);
             return;
         }
         Server server = waiting.isEmpty() && now < call.deadlineAt ? drawForFirstTry(call) : null;
@@ -518,6 +519,14 @@
         now = nowUs; // None is asked for: what a process answers beside its queue says nothing of that.
     }
 
+    @Override
+    public List<String> standing(long nowUs, String serverId) {
+        now = nowUs;
+        Server server = byId.get(serverId);
+        return Standing.of(server, now, set, server != null && ready.contains(server), isThrottled(), isJammed(),
+                server != null && isCold(server) ? server.coldSentAt + coldGap(server) : 0);
+    }
+
     @Override
     public void onWake(long nowUs) {
         now = nowUs;
@@ -745,6 +754,10 @@
     private Server drawTwo(Call call, DrawIndex<Server> from, DrawIndex<Server> withRoom) {
         Server first = draw(call, from, withRoom, null);
         Server second = first == null ? null : draw(call, from, withRoom, first);
+        if (first != null && actions.explains()) {
+            actions.drew(call.request.id(), Standing.drawn(first, pace(first)),
+                    second == null ? null : Standing.drawn(second, pace(second)));
+        }
         if (second == null || first.inFlight < second.inFlight) {
             return first;
         }
@@ -803,7 +816,7 @@
     /** A failed request goes to the next server in list order, or waits, or has its final answer. */
     private void passOn(Call call, Server failed) {
         if (!mayTryAgain(call)) {
-            giveUp(call);
+            giveUp(call, whyNot(call));
             return;
         }
         long waitUs = call.request.bounds().waitUs(call.attempts);
@@ -843,7 +856,7 @@
     /** Puts a request into the deferred queue, if there is time: first come first served of equal value. */
     private void defer(Call call) {
         if (isOver(call)) {
-            giveUp(call);
+            giveUp(call, whyNot(call));
             return;
         }
         call.waiting = true;
@@ -895,7 +908,7 @@
             }
             if (isOver(call)) {
                 call.waiting = false;
-                giveUp(call);
+                giveUp(call, whyNot(call));
                 continue;
             }
             boolean late = isLate(call);
@@ -1119,7 +1132,10 @@
     // ---------------------------------------------------------------- the four rules
 
     /** Rule 1: the one final answer, a refusal wherever that is known to be harmless. */
-    private void giveUp(Call call) {
+    private void giveUp(Call call, Why why) {
+        if (actions.explains()) {
+            actions.because(call.request.id(), why);
+        }
         boolean harmless = switch (call.cls.repeat()) {
             case SAFE -> true;
             case KEYED -> call.binding() < 0 || call.cls.group() == Group.ALL;
@@ -1135,6 +1151,15 @@
         end(call);
     }
 
+    private Why whyNot(Call call) {
+        int binding = call.binding();
+        return call.attempts == 0 ? Why.NO_ROOM : call.attempts >= set.maxAttempts ? Why.ATTEMPTS
+                : mayTryAgain(call) || now >= call.deadlineAt || isWorthless(call) ? Why.NO_TIME
+                : binding >= 0 && call.cls.repeat() == Repeat.UNSAFE ? Why.MAY_HAVE_RUN
+                : binding >= 0 && call.cls.repeat() == Repeat.KEYED
+                && now > call.sentAt[binding] + call.cls.windowUs() ? Why.WINDOW : Why.ROUTE;
+    }
+
     private void end(Call call) {
         call.ended = true;
         call.waiting = false;
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -12,6 +12,7 @@
 import vetchpost.core.Admission;
 import vetchpost.core.Companion;
 import vetchpost.core.Dispatcher;
+import vetchpost.core.Recorder;
 import vetchpost.core.RoutePolicy;
 import vetchpost.core.ServerList;
 import vetchpost.core.Stall;
@@ -57,6 +58,7 @@
     private Dispatcher dispatcher;
     private final Seams seams;
     private Witness witness;
+    private Recorder recorder;
     private final List<Retired> retired = new ArrayList<>();
     private final LoopClock clock;
     private final Fronts fronts;
@@ -140,6 +142,7 @@
         }
         retired.add(new Retired(old, oldPool));
         dispatcher.witness(witness);
+        dispatcher.recorder(recorder);
         List<ServerList.Target> servers = old.known();
         dispatcher.onKnownList(new ServerList(0, true, servers));
         dispatcher.recall(old.knowledge(servers.stream().map(ServerList.Target::id).toList()));
@@ -291,6 +294,17 @@
         dispatcher.witness(other);
     }
 
+    /** Has this see what becomes of requests; null for nobody. */
+    public void recorder(Recorder other) {
+        recorder = other;
+        dispatcher.recorder(other);
+    }
+
+    /** Why this server is sent nothing, or less than it might be: a line a reason. */
+    public List<String> standing(String serverId) {
+        return dispatcher.standing(serverId);
+    }
+
     /** Has this go along with the node's life; before it starts. */
     public void companion(Companion with) {
         companion = with;
--- /dev/null
+++ b/src/main/java/vetchpost/recorder/FlightRecorder.java
@@ -0,0 +1,180 @@
+package vetchpost.recorder;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+
+import vetchpost.core.ClientRequest;
+import vetchpost.core.Recorder;
+import vetchpost.decision.Balancer.Candidate;
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.Why;
+
+/**
+ * The last requests, in bounded memory: all that failed, were refused, took more than one attempt or were
+ * slow, and one in {@value #SAMPLED} of the others. For whoever asks why; it decides nothing, and does no I/O.
+ */
+public final class FlightRecorder implements Recorder {
+    /** One in so many of the requests that nothing was special about is kept. */
+    public static final int SAMPLED = 16;
+    /** Requests in hand that are followed at once; what comes beyond is not recorded. */
+    static final int MOST_OPEN = 4_096;
+    private static final int SAMPLE_PART = 4;
+
+    private final int most;
+    private final long[] slowUs;
+    private final Map<Long, Flight> open = new HashMap<>();
+    private final Deque<Flight> special = new ArrayDeque<>();
+    private final Deque<Flight> usual = new ArrayDeque<>();
+    private final Refusals refusals = new Refusals();
+    private long seen;
+
+    /**
+     * Empty.
+     *
+     * @param most so many special ones are kept, and a quarter as many usual ones
+     * @param slowUs by class, from when on an answer is slow, in microseconds
+     */
+    public FlightRecorder(int most, long[] slowUs) {
+        this.most = most;
+        this.slowUs = slowUs.clone();
+    }
+
+    @Override
+    public void turnedAway(long nowUs, ClientRequest request, Door why) {
+        refusals.add(nowUs, request.classIndex(), why == Door.ROUTE, why.text());
+        Flight flight = flight(nowUs, request, request.remainingUs(), 0);
+        flight.told(nowUs, why == Door.ROUTE ? Told.REFUSED : Told.FAILED, 0);
+        flight.because(why.text());
+        keep(special, flight, most);
+    }
+
+    @Override
+    public void taken(long nowUs, ClientRequest request, long leftUs, long layUs) {
+        if (open.size() < MOST_OPEN) {
+            open.put(request.id(), flight(nowUs, request, leftUs, layUs));
+        }
+    }
+
+    private static Flight flight(long nowUs, ClientRequest request, long leftUs, long layUs) {
+        return new Flight(request.id(), request.classIndex(), request.method(), request.target(), nowUs, leftUs,
+                layUs);
+    }
+
+    @Override
+    public void offered(long nowUs, long id) {
+        Flight flight = open.get(id);
+        if (flight != null) {
+            flight.offered(nowUs);
+        }
+    }
+
+    @Override
+    public void drew(long id, Candidate first, Candidate second) {
+        Flight flight = open.get(id);
+        if (flight != null) {
+            flight.drew(first, second);
+        }
+    }
+
+    @Override
+    public void sent(long nowUs, long id, String serverId, long untilUs) {
+        Flight flight = open.get(id);
+        if (flight != null) {
+            flight.sent(nowUs, serverId, untilUs);
+        }
+    }
+
+    @Override
+    public void ended(long nowUs, long id, int attempt, Result result, long tookUs) {
+        Flight flight = open.get(id);
+        if (flight != null) {
+            flight.ended(attempt, result, tookUs);
+            closeIfOver(flight);
+        }
+    }
+
+    @Override
+    public void because(long id, Why why) {
+        Flight flight = open.get(id);
+        if (flight != null) {
+            flight.because(why.text());
+        }
+    }
+
+    @Override
+    public void told(long nowUs, long id, Told what, long retryAfterUs) {
+        Flight flight = open.get(id);
+        if (flight == null) {
+            return;
+        }
+        flight.told(nowUs, what, retryAfterUs);
+        if (what == Told.REFUSED || what == Told.FAILED) {
+            String cause = flight.why() != null ? flight.why() : what == Told.REFUSED
+                    ? "the node's door has no place for it" : "its client's time was up, or a fault of the node's";
+            flight.because(cause);
+            refusals.add(nowUs, flight.classIndex(), what == Told.REFUSED, cause);
+        }
+        closeIfOver(flight);
+    }
+
+    private void closeIfOver(Flight flight) {
+        if (!flight.isOver()) {
+            return;
+        }
+        open.remove(flight.id(), flight);
+        seen++;
+        if (isSpecial(flight)) {
+            keep(special, flight, most);
+        } else if (seen % SAMPLED == 0) {
+            keep(usual, flight, Math.max(1, most / SAMPLE_PART));
+        }
+    }
+
+    private boolean isSpecial(Flight flight) {
+        return flight.told() != Told.SERVED || flight.attempts().size() > 1
+                || flight.classIndex() >= slowUs.length || flight.tookUs() > slowUs[flight.classIndex()];
+    }
+
+    private static void keep(Deque<Flight> some, Flight flight, int most) {
+        if (some.size() >= most) {
+            some.poll();
+        }
+        some.add(flight);
+    }
+
+    /** The request of this id that came last, in hand or kept; null if it is not known (any more). */
+    public Flight find(long id) {
+        Flight found = open.get(id);
+        for (Deque<Flight> some : List.of(special, usual)) {
+            for (Iterator<Flight> last = some.descendingIterator(); found == null && last.hasNext();) {
+                Flight flight = last.next();
+                found = flight.id() == id ? flight : null;
+            }
+        }
+        return found;
+    }
+
+    /** The last special ones, the latest first. */
+    public List<Flight> last(int many) {
+        List<Flight> last = new ArrayList<>();
+        for (Iterator<Flight> next = special.descendingIterator(); next.hasNext() && last.size() < many;) {
+            last.add(next.next());
+        }
+        return last;
+    }
+
+    /** What was refused or has failed, counted. */
+    public Refusals refusals() {
+        return refusals;
+    }
+
+    /** How many are kept or followed. */
+    public int size() {
+        return open.size() + special.size() + usual.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/recorder/Refusals.java
@@ -0,0 +1,72 @@
+package vetchpost.recorder;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** Counts what was refused or has failed, by class and cause, over the last hour in steps of ten seconds. */
+public final class Refusals {
+    /** A step of time, in microseconds. */
+    public static final long STEP_US = 10_000_000;
+    /** How far back they go. */
+    public static final long MOST_US = 3_600_000_000L;
+    private static final int STEPS = (int) (MOST_US / STEP_US);
+    /** Causes are few; a fault that makes them many must not cost the memory. */
+    private static final int MOST_CAUSES = 256;
+
+    private final List<Map<Key, Integer>> steps = new ArrayList<>();
+    private long latest = Long.MIN_VALUE;
+
+    /** What is counted together. */
+    private record Key(int classIndex, boolean refused, String cause) { }
+
+    /**
+     * One line of the count.
+     *
+     * @param refused or else it has failed
+     */
+    public record Line(int classIndex, boolean refused, String cause, int count) { }
+
+    /** None so far. */
+    public Refusals() {
+        for (int i = 0; i < STEPS; i++) {
+            steps.add(new HashMap<>());
+        }
+    }
+
+    void add(long nowUs, int classIndex, boolean refused, String cause) {
+        forget(nowUs);
+        Map<Key, Integer> step = steps.get((int) Math.floorMod(latest, (long) STEPS));
+        Key key = new Key(classIndex, refused, cause);
+        if (step.size() < MOST_CAUSES || step.containsKey(key)) {
+            step.merge(key, 1, Integer::sum);
+        }
+    }
+
+    private void forget(long nowUs) {
+        long step = Math.floorDiv(nowUs, STEP_US);
+        if (step > latest) {
+            long from = Math.max(latest + 1, step - STEPS + 1);
+            for (long old = latest == Long.MIN_VALUE ? step : from; old <= step; old++) {
+                steps.get((int) Math.floorMod(old, (long) STEPS)).clear();
+            }
+            latest = step;
+        }
+    }
+
+    /** The counts of so long a time up to now, to ten seconds; the most first. */
+    public List<Line> since(long nowUs, long spanUs) {
+        forget(nowUs);
+        long many = Math.min(STEPS, Math.max(1, (spanUs + STEP_US - 1) / STEP_US));
+        Map<Key, Integer> sums = new HashMap<>();
+        for (long step = latest - many + 1; step <= latest; step++) {
+            steps.get((int) Math.floorMod(step, (long) STEPS)).forEach((k, n) -> sums.merge(k, n, Integer::sum));
+        }
+        TreeMap<String, Line> lines = new TreeMap<>();
+        sums.forEach((k, n) -> lines.put(String.format("%010d %s %d %b", Integer.MAX_VALUE - n, k.cause,
+                k.classIndex, k.refused), new Line(k.classIndex, k.refused, k.cause, n)));
+        return List.copyOf(lines.values());
+    }
+}
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -123,9 +123,17 @@
             .that().resideInAPackage("vetchpost.control").should().onlyDependOnClassesThat()
             .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.util.regex",
                     "java.util.stream", "java.nio.charset", "vetchpost.control", "vetchpost.core..",
-                    "vetchpost.decision..", "vetchpost.routes", "com.google.gson",
+                    "vetchpost.decision..", "vetchpost.routes", "vetchpost.recorder", "com.google.gson",
                     "org.apache.commons.codec.digest");
 
+    /** What became of requests is kept without a clock of its own, a disk or a socket. */
+    @ArchTest
+    static final ArchRule THE_RECORDER_DOES_NO_INPUT_OR_OUTPUT = classes()
+            .that().resideInAPackage("vetchpost.recorder").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("java.lang..", "java.util", "java.util.function", "java.util.stream",
+                    "vetchpost.recorder", "vetchpost.core..",
+                    "vetchpost.decision..");
+
     /** The platform's node loads nothing of what runs a node without a platform. */
     @ArchTest
     static final ArchRule THE_PLATFORMS_NODE_DOES_NOT_KNOW_THE_OTHER = noClasses()
@@ -133,7 +141,7 @@
                     "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..", "vetchpost.net..")
             .should().dependOnClassesThat().resideInAnyPackage("vetchpost.web..", "vetchpost.sources..",
                     "vetchpost.standalone..", "vetchpost.conductor..", "vetchpost.control..",
-                    "vetchpost.operations..");
+                    "vetchpost.operations..", "vetchpost.recorder..");
 
     /** A node that nothing is kept of loads nothing of this, but the name of an interface. */
     @ArchTest
--- a/src/test/java/vetchpost/daemon/ControlTest.java
+++ b/src/test/java/vetchpost/daemon/ControlTest.java
@@ -196,6 +196,50 @@
         }
     }
 
+    @Test
+    void whatBecameOfARequestIsExplained() throws Exception {
+        try (Alone node = node()) {
+            assertEquals(0, ctl("explain"));
+            assertTrue(said.startsWith("nothing was refused, failed, repeated or slow"), said);
+            first.script(FakePeer.RESET);
+            second.script(FakePeer.RESET);
+            assertTrue(node.all("POST /orders/7 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + CLOSE + "\r\n")
+                    .startsWith("HTTP/1.1 502 "));
+            assertEquals(0, ctl("explain", "--last", "1"), said);
+            assertTrue(said.contains("failed") && said.contains("1 attempts  POST /orders/7"), said);
+            String id = said.substring(0, 16);
+            assertEquals(0, ctl("explain", id), said);
+            assertTrue(said.contains("POST /orders/7 (write), id " + id), said);
+            assertTrue(said.contains(": reset after "), said);
+            assertTrue(said.contains("drawn: ") && said.contains("in flight of 4.0"), said);
+            assertTrue(said.contains("failed after ") && said.contains(": it may have run, and must not run twice"),
+                    said);
+            assertEquals(0, ctl("explain", "--refused", "10m"), said);
+            assertTrue(said.matches("(?s) *1  failed +write +it may have run, and must not run twice\\s*"), said);
+            assertEquals(1, ctl("explain", "ffff"));
+            assertTrue(said.contains("request ffff is not kept: of those that were served in time at once, one in"
+                    + " 16 is"), said);
+            assertEquals(0, drain(first), said);
+            assertEquals(0, ctl("explain", "--why-not", first.address()), said);
+            assertTrue(said.startsWith("an override drains it"), said);
+            assertTrue(said.contains("it drains"), "the module too: " + said);
+            assertEquals(0, ctl("explain", "--why-not", "nobody:1"), said);
+            assertTrue(said.startsWith("no source names it"), said);
+            assertEquals(2, ctl("explain", "1", "--last", "3"));
+            assertTrue(said.contains("say one of ID, --why-not, --refused and --last, not 2"), said);
+        }
+    }
+
+    @Test
+    void whatIsNotKeptIsSaidToBeOff() throws Exception {
+        try (Alone node = new Alone(Alone.pool(first, second) + "[control]\nsocket = \"" + socket()
+                + "\"\naudit = \"" + audit() + "\"\nkeep = 0\n")) {
+            assertTrue(node.all(Alone.get("/", CLOSE)).startsWith("HTTP/1.1 200 "));
+            assertEquals(1, ctl("explain"));
+            assertTrue(said.contains("nothing is recorded: keep = 0 in [control]"), said);
+        }
+    }
+
     @Test
     void badCommandsAreTwo() {
         assertEquals(2, ctl("drain", "x", "--for", "forever", "--reason", "r"));
--- /dev/null
+++ b/src/test/java/vetchpost/decision/WhyTest.java
@@ -0,0 +1,231 @@
+package vetchpost.decision;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import vetchpost.decision.Balancer.Actions;
+import vetchpost.decision.Balancer.Bounds;
+import vetchpost.decision.Balancer.Candidate;
+import vetchpost.decision.Balancer.ListKind;
+import vetchpost.decision.Balancer.Request;
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.ServerEntry;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.decision.Balancer.Why;
+import org.junit.jupiter.api.Test;
+
+/** The module says why, and deciding is the same whether anybody asks or not. */
+class WhyTest {
+    private final Map<Long, Why> reasons = new HashMap<>();
+    private final Map<Long, List<Candidate>> drawn = new HashMap<>();
+
+    /** The node of the other tests, which wants to be told. */
+    private Node node(Settings settings) {
+        Node node = new Node(settings, 7);
+        node.balancer = new ServiceQBalancer(settings, 7, new Curious(node));
+        return node;
+    }
+
+    private final class Curious implements Actions {
+        private final Actions node;
+
+        Curious(Actions node) {
+            this.node = node;
+        }
+
+        @Override
+        public boolean explains() {
+            return true;
+        }
+
+        @Override
+        public void drew(long requestId, Candidate first, Candidate second) {
+            List<Candidate> both = new ArrayList<>(List.of(first));
+            if (second != null) {
+                both.add(second);
+            }
+            drawn.put(requestId, both);
+        }
+
+        @Override
+        public void because(long requestId, Why why) {
+            assertNull(reasons.put(requestId, why), "two reasons");
+        }
+
+        @Override
+        public void send(long requestId, String serverId, long untilUs) {
+            node.send(requestId, serverId, untilUs);
+        }
+
+        @Override
+        public void cancel(long requestId, int attempt) {
+            node.cancel(requestId, attempt);
+        }
+
+        @Override
+        public void refuse(long requestId, long retryAfterUs) {
+            assertNotNull(reasons.get(requestId), "refused without a reason");
+            node.refuse(requestId, retryAfterUs);
+        }
+
+        @Override
+        public void fail(long requestId) {
+            assertNotNull(reasons.get(requestId), "failed without a reason");
+            node.fail(requestId);
+        }
+
+        @Override
+        public void wakeAt(long atUs) {
+            node.wakeAt(atUs);
+        }
+
+        @Override
+        public void probe(String serverId) {
+            node.probe(serverId);
+        }
+
+        @Override
+        public void subscribe() {
+            node.subscribe();
+        }
+
+        @Override
+        public void log(String line) {
+            node.log(line);
+        }
+    }
+
+    @Test
+    void whatIsNeverSentIsToldWhy() {
+        Node node = node(Node.settings());
+        long none = node.ask(Node.SAFE);
+        node.advance(1_000_000);
+        assertEquals(Why.NO_ROOM, reasons.get(none));
+        node.with(2);
+        long old = 1_000;
+        node.balancer.onRequest(node.now, new Request(old, Node.SAFE, -1, 500_000, 0, false, 300_000));
+        assertEquals(Why.TOO_OLD, reasons.get(old));
+        node.balancer.onRequest(node.now, new Request(old + 1, Node.SAFE, -1, 800_000, 0, false, 150_000));
+        assertEquals(Why.BEHIND, reasons.get(old + 1));
+    }
+
+    @Test
+    void whatMayNotBeSentAgainIsToldWhy() {
+        Node node = node(Node.settings()).with(4);
+        long unsafe = node.ask(Node.UNSAFE);
+        node.answer(unsafe, Result.ERROR, 1_000);
+        assertEquals(Why.MAY_HAVE_RUN, reasons.get(unsafe));
+        long four = node.ask(Node.SAFE);
+        for (int i = 0; i < 4; i++) {
+            node.answer(four, Result.ERROR, 1_000);
+        }
+        assertEquals(Why.ATTEMPTS, reasons.get(four));
+        long slow = node.ask(Node.SAFE);
+        node.answer(slow, Result.ERROR, 250_000);
+        assertEquals(Why.NO_TIME, reasons.get(slow));
+        long bounded = 2_000;
+        node.balancer.onRequest(node.now, new Request(bounded, Node.SAFE, -1, 1_000_000, 0, false, 0, 0,
+                new Bounds() {
+                    @Override
+                    public int attempts() {
+                        return 1;
+                    }
+                }));
+        node.answer(bounded, Result.ERROR, 1_000);
+        assertEquals(Why.ROUTE, reasons.get(bounded));
+    }
+
+    @Test
+    void aKeyThatServersNoLongerKnowIsToldApart() {
+        Settings settings = Node.lateCounts();
+        Node node = node(settings).with(4);
+        long keyed = node.ask(Node.KEYED_ALL);
+        node.answer(keyed, Result.ERROR, 450_000);
+        assertEquals(Why.WINDOW, reasons.get(keyed));
+    }
+
+    @Test
+    void bothDrawnAreToldWithWhatDecided() {
+        Node node = node(Node.settings()).with(2);
+        long first = node.ask(Node.SAFE);
+        long second = node.ask(Node.SAFE);
+        List<Candidate> both = drawn.get(second);
+        assertEquals(2, both.size());
+        Candidate busy = both.stream().filter(c -> c.serverId().equals(node.last(first).server())).findFirst()
+                .orElseThrow();
+        assertEquals(1, busy.inFlight());
+        assertEquals(4, busy.limit());
+        assertTrue(!busy.serverId().equals(node.last(second).server()), "the busier one was chosen");
+    }
+
+    private static String all(Node node, String server) {
+        return String.join("; ", node.balancer.standing(node.now, server));
+    }
+
+    @Test
+    void aServerThatGetsNothingIsToldWhy() {
+        Node node = new Node().with(3);
+        assertEquals("", all(node, "s0"));
+        assertEquals("the list does not name it", all(node, "s9"));
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("s1", 0, 0, ServerState.DRAINING, 1, 0)));
+        assertTrue(all(node, "s1").startsWith("it drains"), all(node, "s1"));
+        node.list(ListKind.CHANGES, List.of(new ServerEntry("s3", 0, 0, ServerState.READY, 1, node.now)));
+        assertTrue(all(node, "s3").contains("it has just started, and gets its next request in "),
+                all(node, "s3"));
+        for (int i = 0; i < 12; i++) {
+            node.ask(Node.UNSAFE);
+        }
+        assertTrue(all(node, "s0").contains("it is at its limit: 4 in flight of 4.0"), all(node, "s0"));
+    }
+
+    @Test
+    void aServerThatFailsOneClassIsToldToGetNoneOfIt() {
+        Node node = new Node().with(5);
+        for (int i = 0; i < 300 && !all(node, "s0").contains("it gets no"); i++) {
+            long id = node.ask(Node.UNSAFE);
+            node.answer(id, node.last(id).server().equals("s0") ? Result.RESET : Result.OK, 2_000);
+        }
+        assertTrue(all(node, "s0").matches("it gets no unsafe for \\d+ ms: 2 failed in a row; it is drawn less.*"),
+                all(node, "s0"));
+        assertEquals("", all(node, "s1"));
+    }
+
+    @Test
+    void whoseNumberIsOfAnotherPartIsToldSo() {
+        Settings settings = Node.settings();
+        settings.nodes = 50;
+        settings.node = 3;
+        Node node = new Node(settings, 7).with(100);
+        long apart = 0;
+        for (int i = 0; i < 100; i++) {
+            apart += all(node, "s" + i).contains("not among the part of the servers") ? 1 : 0;
+        }
+        assertEquals(92, apart);
+    }
+
+    @Test
+    void decisionsAreTheSameWhetherAnybodyAsksOrNot() {
+        Node plain = new Node(Node.settings(), 7).with(5);
+        Node asked = node(Node.settings()).with(5);
+        for (Node node : List.of(plain, asked)) {
+            for (int i = 0; i < 400; i++) {
+                long id = node.ask(i % 5);
+                if (node.last(id) != null && i % 3 == 0) {
+                    node.answer(id, i % 7 == 0 ? Result.ERROR : Result.OK, 3_000 + i * 10);
+                }
+                node.advance(2_000);
+            }
+        }
+        assertEquals(plain.sent, asked.sent);
+        assertEquals(plain.refused, asked.refused);
+        assertEquals(plain.failed, asked.failed);
+    }
+}
