--- a/src/main/java/vetchpost/daemon/CtlCommand.java
+++ b/src/main/java/vetchpost/daemon/CtlCommand.java
@@ -13,10 +13,12 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Objects;
 import java.util.UUID;
 import java.util.concurrent.Callable;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
+import java.util.stream.Stream;
 
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
@@ -143,8 +145,9 @@
         return ask(message);
     }
 
-    @Command(name = "explain", description = {"Tells why: of a request by its id, of a server that gets nothing, of"
-        + " what was", "refused, or of the last requests that were refused, failed, repeated or slow."})
+    @Command(name = "explain", description = {"Tells why: of a request by its id, of a server that gets",
+        "nothing, of what was refused, or of the last requests that were refused,",
+        "failed, repeated or slow."})
     int explain(@Parameters(arity = "0..1", paramLabel = "ID",
             description = "A request's id: up to 16 hexadecimal digits.") String id,
             @Option(names = "--why-not", paramLabel = "SERVER",
@@ -152,9 +155,9 @@
             @Option(names = "--refused", paramLabel = "TIME",
                     description = "What was refused or failed in so long, by cause: 10m; an hour at most.")
                     String span,
-            @Option(names = "--last", paramLabel = "N", description = "The last N; 20 if not said, 100 at most.")
-                    Integer last) {
-        int said = (id == null ? 0 : 1) + (server == null ? 0 : 1) + (span == null ? 0 : 1) + (last == null ? 0 : 1);
+            @Option(names = "--last", paramLabel = "N",
+                    description = "The last N; 20 if not said, 100 at most.") Integer last) {
+        long said = Stream.of(id, server, span, last).filter(Objects::nonNull).count();
         if (said > 1) {
             throw new ParameterException(spec.commandLine(),
                     "say one of ID, --why-not, --refused and --last, not " + said);
@@ -294,7 +297,7 @@
             out().println("refused: " + texts(reply, "why"));
         } else if (reply.has("list")) {
             table(reply);
-        } else if (reply.has("flight") || reply.has("flights") || reply.has("reasons") || reply.has("counts")) {
+        } else if (ExplainText.isOne(reply)) {
             ExplainText.print(out(), reply);
         } else if (reply.has("override")) {
             JsonObject lease = reply.getAsJsonObject("override");
--- a/src/main/java/vetchpost/daemon/ExplainText.java
+++ b/src/main/java/vetchpost/daemon/ExplainText.java
@@ -12,6 +12,11 @@
 final class ExplainText {
     private ExplainText() { }
 
+    /** Whether a reply is an explanation. */
+    static boolean isOne(JsonObject reply) {
+        return reply.has("flight") || reply.has("flights") || reply.has("reasons") || reply.has("counts");
+    }
+
     static void print(PrintWriter out, JsonObject reply) {
         if (reply.has("flight")) {
             flight(out, reply.getAsJsonObject("flight"));
@@ -33,8 +38,8 @@
                 out.println(each.getAsString());
             } else if (key.equals("counts")) {
                 JsonObject line = each.getAsJsonObject();
-                out.printf(Locale.ROOT, "%7d  %-8s %-16s %s%n", line.get("count").getAsLong(), text(line, "told"),
-                        text(line, "class"), text(line, "cause"));
+                out.printf(Locale.ROOT, "%7d  %-8s %-16s %s%n", line.get("count").getAsLong(),
+                        text(line, "told"), text(line, "class"), text(line, "cause"));
             } else {
                 JsonObject flight = each.getAsJsonObject();
                 out.printf(Locale.ROOT, "%s  %-8s %8s  %d attempts  %s%n", text(flight, "txn"),
@@ -66,8 +71,8 @@
                 out.println("      drawn: " + candidate);
             }
         }
-        out.println("  " + text(flight, "told") + (flight.has("took-ms") ? " after " + ms(flight, "took-ms") : "")
-                + (flight.has("why") ? ": " + text(flight, "why") : "")
+        out.println("  " + text(flight, "told") + (flight.has("took-ms") ? " after " + ms(flight, "took-ms")
+                : "") + (flight.has("why") ? ": " + text(flight, "why") : "")
                 + (flight.has("come-back-ms") ? "; to come back after " + ms(flight, "come-back-ms") : ""));
     }
 
--- a/src/main/java/vetchpost/decision/Balancer.java
+++ b/src/main/java/vetchpost/decision/Balancer.java
@@ -92,7 +92,7 @@
             return false;
         }
 
-        /** Which servers were drawn for an attempt, before the one of them is sent to; the second may be null. */
+        /** Which servers were drawn for an attempt, before one is sent to; the second may be null. */
         default void drew(long requestId, Candidate first, Candidate second) { }
 
         /** Why the refusal or failure that comes next is the answer. */
--- a/src/main/java/vetchpost/decision/ServiceQBalancer.java
+++ b/src/main/java/vetchpost/decision/ServiceQBalancer.java
@@ -523,8 +523,8 @@
     public List<String> standing(long nowUs, String serverId) {
         now = nowUs;
         Server server = byId.get(serverId);
-        return Standing.of(server, now, set, server != null && ready.contains(server), isThrottled(), isJammed(),
-                server != null && isCold(server) ? server.coldSentAt + coldGap(server) : 0);
+        return Standing.of(server, now, set, server != null && ready.contains(server), isThrottled(),
+                isJammed(), server != null && isCold(server) ? server.coldSentAt + coldGap(server) : 0);
     }
 
     @Override
--- a/src/main/java/vetchpost/http/Acceptor.java
+++ b/src/main/java/vetchpost/http/Acceptor.java
@@ -95,9 +95,9 @@
     }
 
     /**
-     * For how long a connection accepted just now may have lain in the queue, in nanoseconds; 0 where the queue
-     * was empty a turn ago and the loop is on time. What a loop that was held up accepts in one turn it reads in
-     * the next, when it may be on time again.
+     * For how long a connection accepted just now may have lain in the queue, in nanoseconds; 0 where the
+     * queue was empty a turn ago and the loop is on time. What a loop that was held up accepts in one turn
+     * it reads in the next, when it may be on time again.
      */
     long layNs() {
         long heldUpNs = TimeUnit.MICROSECONDS.toNanos(behindUs.getAsLong());
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -286,7 +286,8 @@
     /**
      * It has been accepted.
      *
-     * @return whether it is one more than are served: if that is still so when its request comes, that is refused
+     * @return whether it is one more than are served: if that is still so when its request comes, that is
+     * refused
      */
     public boolean opened(ClientLine connection, long number, Channel channel) {
         sockets.addClient();
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -196,9 +196,9 @@
     }
 
     /**
-     * Runs it once the loop has waited, however shortly, unless the node is to stop by then. Where a process has a part of a processor, it pays for
-     * a long stretch of work in that wait; what is opened at the stretch's end would stand open unattended
-     * meanwhile.
+     * Runs it once the loop has waited, however shortly, unless the node is to stop by then. Where a process
+     * has a part of a processor, it pays for a long stretch of work in that wait; what is opened at the
+     * stretch's end would stand open unattended meanwhile.
      */
     private void afterAWait(Runnable then) {
         loop.schedule(() -> {
--- a/src/main/java/vetchpost/recorder/FlightRecorder.java
+++ b/src/main/java/vetchpost/recorder/FlightRecorder.java
@@ -16,7 +16,8 @@
 
 /**
  * The last requests, in bounded memory: all that failed, were refused, took more than one attempt or were
- * slow, and one in {@value #SAMPLED} of the others. For whoever asks why; it decides nothing, and does no I/O.
+ * slow, and one in {@value #SAMPLED} of the others. For whoever asks why; it decides nothing, and does no
+ * I/O.
  */
 public final class FlightRecorder implements Recorder {
     /** One in so many of the requests that nothing was special about is kept. */
@@ -61,8 +62,8 @@
     }
 
     private static Flight flight(long nowUs, ClientRequest request, long leftUs, long layUs) {
-        return new Flight(request.id(), request.classIndex(), request.method(), request.target(), nowUs, leftUs,
-                layUs);
+        return new Flight(request.id(), request.classIndex(), request.method(), request.target(), nowUs,
+                leftUs, layUs);
     }
 
     @Override
@@ -115,7 +116,8 @@
         flight.told(nowUs, what, retryAfterUs);
         if (what == Told.REFUSED || what == Told.FAILED) {
             String cause = flight.why() != null ? flight.why() : what == Told.REFUSED
-                    ? "the node's door has no place for it" : "its client's time was up, or a fault of the node's";
+                    ? "the node's door has no place for it"
+                    : "its client's time was up, or a fault of the node's";
             flight.because(cause);
             refusals.add(nowUs, flight.classIndex(), what == Told.REFUSED, cause);
         }
--- a/src/main/java/vetchpost/recorder/Refusals.java
+++ b/src/main/java/vetchpost/recorder/Refusals.java
@@ -62,7 +62,8 @@
         long many = Math.min(STEPS, Math.max(1, (spanUs + STEP_US - 1) / STEP_US));
         Map<Key, Integer> sums = new HashMap<>();
         for (long step = latest - many + 1; step <= latest; step++) {
-            steps.get((int) Math.floorMod(step, (long) STEPS)).forEach((k, n) -> sums.merge(k, n, Integer::sum));
+            steps.get((int) Math.floorMod(step, (long) STEPS))
+                    .forEach((k, n) -> sums.merge(k, n, Integer::sum));
         }
         TreeMap<String, Line> lines = new TreeMap<>();
         sums.forEach((k, n) -> lines.put(String.format("%010d %s %d %b", Integer.MAX_VALUE - n, k.cause,
--- a/src/test/java/vetchpost/control/DeskTest.java
+++ b/src/test/java/vetchpost/control/DeskTest.java
@@ -183,8 +183,10 @@
         assertTrue(ask("").toString().contains("one JSON object"));
         assertTrue(ask("[1]").toString().contains("one JSON object"));
         assertTrue(ask("{\"v\":2,\"do\":\"status\"}").toString().contains("v is a whole number from 1 to 1"));
-        assertTrue(ask("{\"v\":1,\"do\":\"dance\"}").toString().contains("do is one of drain, explain, freeze,"));
-        assertTrue(ask("{\"v\":1,\"do\":\"explain\",\"txn\":\"xyz\"}").toString().contains("nothing is recorded"));
+        assertTrue(ask("{\"v\":1,\"do\":\"dance\"}").toString()
+                .contains("do is one of drain, explain, freeze,"));
+        assertTrue(ask("{\"v\":1,\"do\":\"explain\",\"txn\":\"xyz\"}").toString()
+                .contains("nothing is recorded"));
         assertTrue(ask("{\"v\":1,\"do\":\"status\",\"x\":1}").toString()
                 .contains("'x' is no field of status"));
         assertTrue(ask(DRAIN.replace("60000", "0")).toString().contains("lasts from 1s to 24h"));
--- a/src/test/java/vetchpost/daemon/ControlTest.java
+++ b/src/test/java/vetchpost/daemon/ControlTest.java
@@ -203,7 +203,8 @@
             assertTrue(said.startsWith("nothing was refused, failed, repeated or slow"), said);
             first.script(FakePeer.RESET);
             second.script(FakePeer.RESET);
-            assertTrue(node.all("POST /orders/7 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + CLOSE + "\r\n")
+            assertTrue(node.all("POST /orders/7 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n" + CLOSE
+                    + "\r\n")
                     .startsWith("HTTP/1.1 502 "));
             assertEquals(0, ctl("explain", "--last", "1"), said);
             assertTrue(said.contains("failed") && said.contains("1 attempts  POST /orders/7"), said);
@@ -212,13 +213,15 @@
             assertTrue(said.contains("POST /orders/7 (write), id " + id), said);
             assertTrue(said.contains(": reset after "), said);
             assertTrue(said.contains("drawn: ") && said.contains("in flight of 4.0"), said);
-            assertTrue(said.contains("failed after ") && said.contains(": it may have run, and must not run twice"),
+            assertTrue(said.contains("failed after ")
+                    && said.contains(": it may have run, and must not run twice"),
                     said);
             assertEquals(0, ctl("explain", "--refused", "10m"), said);
-            assertTrue(said.matches("(?s) *1  failed +write +it may have run, and must not run twice\\s*"), said);
+            assertTrue(said.matches("(?s) *1  failed +write +it may have run, and must not run twice\\s*"),
+                    said);
             assertEquals(1, ctl("explain", "ffff"));
-            assertTrue(said.contains("request ffff is not kept: of those that were served in time at once, one in"
-                    + " 16 is"), said);
+            assertTrue(said.contains("request ffff is not kept: of those that were served in time at once,"
+                    + " one in 16 is"), said);
             assertEquals(0, drain(first), said);
             assertEquals(0, ctl("explain", "--why-not", first.address()), said);
             assertTrue(said.startsWith("an override drains it"), said);
--- a/src/test/java/vetchpost/decision/WhyTest.java
+++ b/src/test/java/vetchpost/decision/WhyTest.java
@@ -193,7 +193,8 @@
             long id = node.ask(Node.UNSAFE);
             node.answer(id, node.last(id).server().equals("s0") ? Result.RESET : Result.OK, 2_000);
         }
-        assertTrue(all(node, "s0").matches("it gets no unsafe for \\d+ ms: 2 failed in a row; it is drawn less.*"),
+        assertTrue(all(node, "s0").matches("it gets no unsafe for \\d+ ms: 2 failed in a row;"
+                + " it is drawn less.*"),
                 all(node, "s0"));
         assertEquals("", all(node, "s1"));
     }
--- a/src/test/java/vetchpost/node/CrowdedNodeTest.java
+++ b/src/test/java/vetchpost/node/CrowdedNodeTest.java
@@ -39,8 +39,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
- * What the system has accepted counts as taken, whether the node has read it or not: it is answered when there
- * are more clients than descriptors, when the loop was held up, and when the node stops.
+ * What the system has accepted counts as taken, whether the node has read it or not: it is answered when
+ * there are more clients than descriptors, when the loop was held up, and when the node stops.
  */
 @Timeout(120)
 class CrowdedNodeTest {
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Keeps the loop from its sockets and timers until the latch is down, and for so long at least. It does so
-     * while the loop reads, so that timers which have become due come before what lies unread.
+     * Keeps the loop from its sockets and timers until the latch is down, and for so long at least. It does
+     * so while the loop reads, so that timers which have become due come before what lies unread.
      */
     private CountDownLatch holdUp(long leastMs) throws Exception {
         CountDownLatch held = new CountDownLatch(1);
@@ -192,7 +192,8 @@
         start(Sockets.LEAST);
         int most = new Sockets(Sockets.LEAST).mostClients();
         for (int i = 0; i < most; i++) {
-            // In a crowd an answer ends its connection: some are kept after one, and the others have not asked.
+            // In a crowd an answer ends its connection: some are kept after one, and the others have not
+            // asked.
             Socket client = connect();
             if (i < Sockets.LEAST / 4) {
                 ask(client, i);
@@ -200,7 +201,8 @@
             }
         }
         List<Socket> idle = List.copyOf(clients);
-        // Past the time for which what has just been answered is left alone; who comes first is accepted first.
+        // Past the time for which what has just been answered is left alone; who comes first is accepted
+        // first.
         CountDownLatch go = holdUp(300);
         for (int i = 0; i < 4; i++) {
             ask(100 + i);
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -544,7 +544,8 @@
     @Test
     void aNodeHasWaitedAfterItsWarmUpBeforeItListens() throws Exception {
         // Guards the full fleet's herd days: a process that has a part of a processor pays for a long stretch
-        // of work in the wait behind it; a socket opened in that stretch stood open, and unread, for a second.
+        // of work in the wait behind it; a socket opened in that stretch stood open, and unread, for a
+        // second.
         AtomicInteger waits = new AtomicInteger();
         EventLoopGroup counted = new MultiThreadIoEventLoopGroup(1, counted(waits));
         try {
