--- a/src/test/java/vetchpost/daemon/ControlWaveTest.java
+++ b/src/test/java/vetchpost/daemon/ControlWaveTest.java
@@ -72,8 +72,8 @@
     }
 
     private int drainEverywhere() {
-        return ctl(NODES, "drain", sick.address(), "--for", "10m", "--reason", "sick", "--owner", "ann", "--key",
-                "night-7");
+        return ctl(NODES, "drain", sick.address(), "--for", "10m", "--reason", "sick", "--owner", "ann",
+                "--key", "night-7");
     }
 
     private long entries(int node) throws Exception {
@@ -110,8 +110,8 @@
         }
         assertTrue(failed > 0, "nothing went wrong");
         assertEquals(0, ctl(1, "explain", "--refused", "10m"), said);
-        assertTrue(said.matches("(?s) *" + failed + "  failed +write +it may have run, and must not run twice\\s*"),
-                said);
+        assertTrue(said.matches("(?s) *" + failed + "  failed +write +it may have run, and must"
+                + " not run twice\\s*"), said);
         assertEquals(0, ctl(1, "explain", "--last", "1"), said);
         assertEquals(0, ctl(1, "explain", said.substring(0, 16)), said);
         assertTrue(said.contains(" to " + sick.address() + ": reset after"), said);
