Read and write FastCGI records, requests and answers, and say what each ending means

First piece: package fastcgi with the codec to the specification, bounded before allocation; the request that parameters come to, with every second reading refused; an answer's head; and Ending, the table of outcomes, without I/O. Nothing of the node uses it yet.

Checked: the specification's bytes, lying lengths, endless names, smuggled headers, each line of the table (FcgiTest); any cut of a stream gives the same records, mutated bytes give records or the protocol's own error (CodecProperty).

--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -134,6 +134,14 @@
                     "vetchpost.recorder", "vetchpost.core..",
                     "vetchpost.decision..");
 
+    /** A protocol decides how bytes look and what an ending means, and nothing else. */
+    @ArchTest
+    static final ArchRule FASTCGI_KNOWS_BYTES_AND_OUTCOMES = classes()
+            .that().resideInAPackage("vetchpost.fastcgi").should().onlyDependOnClassesThat()
+            .resideInAnyPackage("java.lang..", "java.util..", "java.nio.charset", "io.netty.buffer..",
+                    "io.netty.channel..", "io.netty.handler.codec..", "io.netty.util..", "vetchpost.fastcgi",
+                    "vetchpost.decision..");
+
     /** The platform's node loads nothing of what runs a node without a platform. */
     @ArchTest
     static final ArchRule THE_PLATFORMS_NODE_DOES_NOT_KNOW_THE_OTHER = noClasses()
@@ -141,7 +149,7 @@
                     "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..", "vetchpost.net..")
             .should().dependOnClassesThat().resideInAnyPackage("vetchpost.web..", "vetchpost.sources..",
                     "vetchpost.standalone..", "vetchpost.conductor..", "vetchpost.control..",
-                    "vetchpost.operations..", "vetchpost.recorder..");
+                    "vetchpost.operations..", "vetchpost.recorder..", "vetchpost.fastcgi..");
 
     /** A node that nothing is kept of loads nothing of this, but the name of an interface. */
     @ArchTest
