Take a last look at a client's socket before it is held to be silent or too slow

Bounded as before by the sizes of heads and bodies.

Checked: ClientConnectionTest; two of its three new cases fail without the change, the third holds that who is silent or stops halfway is still not waited for.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -128,14 +128,31 @@
             }
             return;
         }
-        boolean waits = held == null && ahead.isEmpty();
-        if (waits && decoder.isMidRequest() && nowNs - (asked ? begunNs : openedNs) > PATIENCE_NS) {
+        if (!isOverdue(nowNs)) {
+            return;
+        }
+        // A loop that was held up for a moment has not read what came in time.
+        long before = deafness.seen();
+        readNow();
+        if (deafness.seen() > before || !isOverdue(nowNs)) {
+            return;
+        }
+        if (decoder.isMidRequest()) {
             reject(new BadRequest(HttpResponseStatus.REQUEST_TIMEOUT, "request not whole in time"));
-        } else if (waits && !asked && nowNs - openedNs > PATIENCE_NS) {
+        } else {
             close("silent");
         }
     }
 
+    /** Whether it has waited too long for the rest of a request, or for its first. */
+    private boolean isOverdue(long nowNs) {
+        if (held != null || !ahead.isEmpty() || !channel.isActive()) {
+            return false;
+        }
+        return decoder.isMidRequest() ? nowNs - (asked ? begunNs : openedNs) > PATIENCE_NS
+                : !asked && nowNs - openedNs > PATIENCE_NS;
+    }
+
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
         unwelcome = server.opened(this, number, channel);
--- a/src/main/java/vetchpost/http/Deafness.java
+++ b/src/main/java/vetchpost/http/Deafness.java
@@ -14,6 +14,7 @@
     private final int most;
     private int thrownAway;
     private boolean deaf;
+    private long seen;
 
     /** Lets all through, for now; later throws away so many bytes before it stops to read. */
     public Deafness(int most) {
@@ -25,6 +26,11 @@
         deaf = true;
     }
 
+    /** Bytes that have come so far. */
+    long seen() {
+        return seen;
+    }
+
     /** Whether nothing more is taken. */
     public boolean isDeaf() {
         return deaf;
@@ -37,6 +43,7 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
+        seen += message instanceof ByteBuf bytes ? bytes.readableBytes() : 0;
         if (!deaf) {
             ctx.fireChannelRead(message);
             return;
--- a/src/test/java/vetchpost/http/ClientConnectionTest.java
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 
 import vetchpost.config.Config;
 import vetchpost.core.Answer;
@@ -19,9 +22,11 @@
 import vetchpost.testing.Fixture;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelOutboundHandlerAdapter;
 import io.netty.channel.ChannelPromise;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.util.ReferenceCountUtil;
@@ -34,6 +39,26 @@
 /** An error in any handler of a client's connection costs no request its answer. */
 class ClientConnectionTest {
     private final List<ClientReply> held = new ArrayList<>();
+    /** What the system holds for the connection, as its bytes; read when it is looked at. */
+    private final Deque<String> unread = new ArrayDeque<>();
+    private final Network network = new Network() {
+        @Override
+        public ServerChannel listening() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public Channel connecting() {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void readNow(Channel looked) {
+            if (!unread.isEmpty()) {
+                channel.writeInbound(Unpooled.copiedBuffer(unread.poll(), StandardCharsets.ISO_8859_1));
+            }
+        }
+    };
     private EmbeddedChannel channel;
     private ClientServer server;
     private Throwable thrown;
@@ -45,7 +70,7 @@
         try (FakePeer peer = new FakePeer(FakePeer.SILENT)) {
             config = Config.read(Map.of("LB_CONFIG", Fixture.write(Fixture.config(peer, peer)).toString()));
         }
-        server = new ClientServer(channel.eventLoop(), Network.SYSTEM, new Sockets(1_024), config.settings(),
+        server = new ClientServer(channel.eventLoop(), network, new Sockets(1_024), config.settings(),
                 (request, reply, waitedUs) -> {
                     held.add(reply);
                     if (thrown instanceof RuntimeException fault) {
@@ -100,6 +125,42 @@
         assertTrue(written().startsWith("HTTP/1.1 200 "), "the next one is not served");
     }
 
+    private void overdue() {
+        ((ClientLine) channel.pipeline().last()).closeIfOverdue(server.nanos() + TimeUnit.SECONDS.toNanos(3));
+        channel.runPendingTasks();
+    }
+
+    @Test
+    void whatLiesUnreadIsReadBeforeItsConnectionIsTakenForSilent() {
+        String request = Fixture.request("GET", "/view", 1, "", "");
+        unread.add(request);
+        overdue();
+        assertEquals(1, held.size(), "its request was there");
+        held.get(0).served(new Answer(200, null, new byte[0]));
+        assertTrue(written().startsWith("HTTP/1.1 200 "));
+        assertTrue(channel.isOpen());
+    }
+
+    @Test
+    void halfARequestWhoseRestIsThereIsReadOn() {
+        String request = Fixture.request("POST", "/order", 1, "", "x".repeat(50));
+        unread.addAll(List.of(request.substring(0, 20), request.substring(20, 90), request.substring(90)));
+        overdue();
+        overdue();
+        assertEquals("", written(), "rejected while more was there");
+        overdue();
+        assertEquals(1, held.size());
+    }
+
+    @Test
+    void whoIsSilentOrStopsHalfwayIsNotWaitedFor() {
+        unread.add(Fixture.request("GET", "/view", 1, "", "").substring(0, 20));
+        overdue();
+        assertTrue(channel.isOpen());
+        overdue();
+        assertTrue(written().startsWith("HTTP/1.1 408 "));
+    }
+
     @Test
     void aRequestForWhichThereIsNoMemoryIsToldToComeAgain() {
         long taken = server.inHand().most();
