--- a/src/test/java/vetchpost/decision/Node.java
+++ b/src/test/java/vetchpost/decision/Node.java
@@ -1,9 +1,12 @@
 package vetchpost.decision;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 import vetchpost.decision.Balancer.Actions;
+import vetchpost.decision.Balancer.Candidate;
 import vetchpost.decision.Balancer.Group;
 import vetchpost.decision.Balancer.ListKind;
 import vetchpost.decision.Balancer.Outcome;
@@ -15,6 +18,7 @@
 import vetchpost.decision.Balancer.ServerState;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.decision.Balancer.Tenant;
+import vetchpost.decision.Balancer.Why;
 
 /** A node for tests: a clock, a module and a record of what it asked for. */
 final class Node implements Actions {
@@ -37,6 +41,10 @@
     final List<String> logged = new ArrayList<>();
     final List<String> probed = new ArrayList<>();
     int subscriptions;
+    /** Whether it wants to be told why; what it is told then. */
+    boolean curious;
+    final Map<Long, Why> reasons = new HashMap<>();
+    final Map<Long, List<Candidate>> drawn = new HashMap<>();
     long now = 1_000_000;
     private final List<Long> wakes = new ArrayList<>();
     private long nextId = 1;
@@ -175,14 +183,39 @@
 
     @Override
     public void refuse(long requestId, long retryAfterUs) {
+        assertReason(requestId);
         refused.add(requestId);
     }
 
     @Override
     public void fail(long requestId) {
+        assertReason(requestId);
         failed.add(requestId);
     }
 
+    private void assertReason(long requestId) {
+        if (curious && !reasons.containsKey(requestId)) {
+            throw new AssertionError("given up without a reason");
+        }
+    }
+
+    @Override
+    public boolean explains() {
+        return curious;
+    }
+
+    @Override
+    public void drew(long requestId, Candidate first, Candidate second) {
+        drawn.put(requestId, second == null ? List.of(first) : List.of(first, second));
+    }
+
+    @Override
+    public void because(long requestId, Why why) {
+        if (reasons.put(requestId, why) != null) {
+            throw new AssertionError("two reasons");
+        }
+    }
+
     @Override
     public void wakeAt(long atUs) {
         wakes.add(atUs);
--- a/src/test/java/vetchpost/decision/WhyTest.java
+++ b/src/test/java/vetchpost/decision/WhyTest.java
@@ -1,16 +1,10 @@
 package vetchpost.decision;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNotNull;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 
-import vetchpost.decision.Balancer.Actions;
 import vetchpost.decision.Balancer.Bounds;
 import vetchpost.decision.Balancer.Candidate;
 import vetchpost.decision.Balancer.ListKind;
@@ -24,97 +18,25 @@
 
 /** The module says why, and deciding is the same whether anybody asks or not. */
 class WhyTest {
-    private final Map<Long, Why> reasons = new HashMap<>();
-    private final Map<Long, List<Candidate>> drawn = new HashMap<>();
-
     /** The node of the other tests, which wants to be told. */
-    private Node node(Settings settings) {
+    private static Node node(Settings settings) {
         Node node = new Node(settings, 7);
-        node.balancer = new ServiceQBalancer(settings, 7, new Curious(node));
+        node.curious = true;
         return node;
     }
 
-    private final class Curious implements Actions {
-        private final Actions node;
-
-        Curious(Actions node) {
-            this.node = node;
-        }
-
-        @Override
-        public boolean explains() {
-            return true;
-        }
-
-        @Override
-        public void drew(long requestId, Candidate first, Candidate second) {
-            List<Candidate> both = new ArrayList<>(List.of(first));
-            if (second != null) {
-                both.add(second);
-            }
-            drawn.put(requestId, both);
-        }
-
-        @Override
-        public void because(long requestId, Why why) {
-            assertNull(reasons.put(requestId, why), "two reasons");
-        }
-
-        @Override
-        public void send(long requestId, String serverId, long untilUs) {
-            node.send(requestId, serverId, untilUs);
-        }
-
-        @Override
-        public void cancel(long requestId, int attempt) {
-            node.cancel(requestId, attempt);
-        }
-
-        @Override
-        public void refuse(long requestId, long retryAfterUs) {
-            assertNotNull(reasons.get(requestId), "refused without a reason");
-            node.refuse(requestId, retryAfterUs);
-        }
-
-        @Override
-        public void fail(long requestId) {
-            assertNotNull(reasons.get(requestId), "failed without a reason");
-            node.fail(requestId);
-        }
-
-        @Override
-        public void wakeAt(long atUs) {
-            node.wakeAt(atUs);
-        }
-
-        @Override
-        public void probe(String serverId) {
-            node.probe(serverId);
-        }
-
-        @Override
-        public void subscribe() {
-            node.subscribe();
-        }
-
-        @Override
-        public void log(String line) {
-            node.log(line);
-        }
-    }
-
     @Test
     void whatIsNeverSentIsToldWhy() {
         Node node = node(Node.settings());
         long none = node.ask(Node.SAFE);
         node.advance(1_000_000);
-        assertEquals(Why.NO_ROOM, reasons.get(none));
+        assertEquals(Why.NO_ROOM, node.reasons.get(none));
         node.with(2);
         long old = 1_000;
         node.balancer.onRequest(node.now, new Request(old, Node.SAFE, -1, 500_000, 0, false, 300_000));
-        assertEquals(Why.TOO_OLD, reasons.get(old));
+        assertEquals(Why.TOO_OLD, node.reasons.get(old));
         node.balancer.onRequest(node.now, new Request(old + 1, Node.SAFE, -1, 800_000, 0, false, 150_000));
-        assertEquals(Why.BEHIND, reasons.get(old + 1));
+        assertEquals(Why.BEHIND, node.reasons.get(old + 1));
     }
 
     @Test
@@ -122,15 +44,15 @@
         Node node = node(Node.settings()).with(4);
         long unsafe = node.ask(Node.UNSAFE);
         node.answer(unsafe, Result.ERROR, 1_000);
-        assertEquals(Why.MAY_HAVE_RUN, reasons.get(unsafe));
+        assertEquals(Why.MAY_HAVE_RUN, node.reasons.get(unsafe));
         long four = node.ask(Node.SAFE);
         for (int i = 0; i < 4; i++) {
             node.answer(four, Result.ERROR, 1_000);
         }
-        assertEquals(Why.ATTEMPTS, reasons.get(four));
+        assertEquals(Why.ATTEMPTS, node.reasons.get(four));
         long slow = node.ask(Node.SAFE);
         node.answer(slow, Result.ERROR, 250_000);
-        assertEquals(Why.NO_TIME, reasons.get(slow));
+        assertEquals(Why.NO_TIME, node.reasons.get(slow));
         long bounded = 2_000;
         node.balancer.onRequest(node.now, new Request(bounded, Node.SAFE, -1, 1_000_000, 0, false, 0, 0,
                 new Bounds() {
@@ -140,7 +62,7 @@
                     }
                 }));
         node.answer(bounded, Result.ERROR, 1_000);
-        assertEquals(Why.ROUTE, reasons.get(bounded));
+        assertEquals(Why.ROUTE, node.reasons.get(bounded));
     }
 
     @Test
@@ -149,7 +71,7 @@
         Node node = node(settings).with(4);
         long keyed = node.ask(Node.KEYED_ALL);
         node.answer(keyed, Result.ERROR, 450_000);
-        assertEquals(Why.WINDOW, reasons.get(keyed));
+        assertEquals(Why.WINDOW, node.reasons.get(keyed));
     }
 
     @Test
@@ -157,7 +79,7 @@
         Node node = node(Node.settings()).with(2);
         long first = node.ask(Node.SAFE);
         long second = node.ask(Node.SAFE);
-        List<Candidate> both = drawn.get(second);
+        List<Candidate> both = node.drawn.get(second);
         assertEquals(2, both.size());
         Candidate busy = both.stream().filter(c -> c.serverId().equals(node.last(first).server())).findFirst()
                 .orElseThrow();
