--- a/src/main/java/vetchpost/core/RequestLog.java
+++ b/src/main/java/vetchpost/core/RequestLog.java
@@ -12,8 +12,9 @@
     /** The logger's name. */
     public static final String NAME = "vetchpost.requests";
 
-    private final Logger log = System.getLogger(NAME);
-    private final boolean on = log.isLoggable(Level.DEBUG);
+    private static final Logger LOG = System.getLogger(NAME);
+
+    private final boolean on = LOG.isLoggable(Level.DEBUG);
 
     /** Whether lines are wanted; to be asked first, so that none is made for nothing. */
     public boolean isOn() {
@@ -26,7 +27,7 @@
         for (Object part : parts) {
             text.append(text.length() == 0 ? "" : " ").append(part);
         }
-        log.log(Level.DEBUG, text.toString());
+        LOG.log(Level.DEBUG, text.toString());
     }
 
     /** A request's id as clients write it. */
