Hold by a test that a client which hardly reads holds up nobody

A client with a small buffer asks for sixteen answers of 60 KB and reads a byte each 50 ms: others are served meanwhile, its connection ends within its patience with less than it was told, and nothing of it stays in hand.

--- a/src/test/java/vetchpost/node/CrowdedNodeTest.java
+++ b/src/test/java/vetchpost/node/CrowdedNodeTest.java
@@ -292,6 +292,46 @@
         assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never stopped");
     }
 
+    @Test
+    void whoHardlyReadsHoldsUpNobodyAndCanTellThatItsAnswerIsNotWhole() throws Exception {
+        String body = "x".repeat(60 * 1_024);
+        server.script(FakePeer.answer("200 OK", "", body));
+        start(1_024);
+        Socket slow = new Socket();
+        clients.add(slow);
+        slow.setReceiveBufferSize(1_024);
+        slow.connect(new InetSocketAddress("127.0.0.1", port));
+        slow.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        // Sixteen answers are more than the system's buffers of both sides hold.
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 16; i++) {
+            all.append(Fixture.request("GET", "/view", i, "", ""));
+        }
+        FakePeer.write(slow, all.toString());
+        assertTrue(slow.getInputStream().read() >= 0);
+        for (int i = 0; i < 20; i++) {
+            assertEquals(200, status(FakePeer.read(ask(100 + i))));
+        }
+        long bytes = 1;
+        ScheduledExecutorService reader = Executors.newSingleThreadScheduledExecutor();
+        try {
+            // A byte each 50 ms for longer than an answer may take to be read.
+            for (int i = 0; i < 50; i++) {
+                int read = reader.schedule(() -> slow.getInputStream().read(), 50, TimeUnit.MILLISECONDS).get();
+                bytes += read >= 0 ? 1 : 0;
+            }
+        } finally {
+            reader.shutdownNow();
+        }
+        try {
+            bytes += slow.getInputStream().readAllBytes().length;
+        } catch (IOException e) {
+            assertNotNull(e.getMessage());
+        }
+        assertTrue(bytes < 16 * body.length(), "all of it came: " + bytes);
+        assertEquals(0, loop.submit(node::inHand).get().bytes());
+    }
+
     @Test
     void whoSendsSixteenAheadAndLeavesCostsNothing() throws Exception {
         CountDownLatch gone = new CountDownLatch(1);
