--- a/src/test/java/vetchpost/node/CrowdedNodeTest.java
+++ b/src/test/java/vetchpost/node/CrowdedNodeTest.java
@@ -317,7 +317,8 @@
         try {
             // A byte each 50 ms for longer than an answer may take to be read.
             for (int i = 0; i < 50; i++) {
-                int read = reader.schedule(() -> slow.getInputStream().read(), 50, TimeUnit.MILLISECONDS).get();
+                int read = reader.schedule(() -> slow.getInputStream().read(), 50, TimeUnit.MILLISECONDS)
+                        .get();
                 bytes += read >= 0 ? 1 : 0;
             }
         } finally {
