Notice a silent watch after 3 s, so that the next one is answered before the news counts

All six nodes found it at 6.87 to 6.97 s. Ruled out: a send that waited for a connection (the last one went out in the turn in which it was taken), a list that came and was not taken in (no list came). Wrong were SILENT_MS = 6_000 and what counted as a sign of life.

Now: a watch is silent after 2.5 to 3 s without a whole line (a line is due every 2 s), spread by the seed; a call that waits in turn gets 4 s, since discovery gives up by itself after some 2; a connect 1 s, so that a lost one leaves time for another. A timer that is due before bytes already held by the system reads those first, and a list that takes many turns is no silence.

Tests: the simulation's discovery can fall silent, counts what it holds back as told 6 s later, and can make calls wait; aWatchFallenSilentJustBeforeADrain fails with 6 s in both ways of asking (552 to 992 ms after). Over loopback, a line that trickles and a line that a held-up loop has not read: both seen to fail without the lines that they hold.

--- a/src/main/java/vetchpost/discovery/Discovery.java
+++ b/src/main/java/vetchpost/discovery/Discovery.java
@@ -3,6 +3,7 @@
 import java.io.InputStreamReader;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 import vetchpost.core.ServerList;
@@ -32,11 +33,22 @@
 
 /** The watch on the list of servers: one at a time, opened when asked for, reported once when it fails. */
 public final class Discovery {
-    /** A line comes every 2 s, the first one within the call's own time limit: this is well past both. */
-    public static final long SILENT_MS = 6_000;
+    /**
+     * The longest that a watch may say nothing. A line comes every 2 s. What a silent watch misses counts as
+     * told 6 s after it fell silent, at the earliest just after a line: by then the next watch has to be open
+     * and answered, after a lost connection too.
+     */
+    public static final long SILENT_MS = 3_000;
+    /** The longest that a call may wait for its first line where calls are taken in turn: discovery itself
+     * gives up after some 2 s, and what is missed counts as told 2 s later. */
+    public static final long CALL_MS = 4_000;
+    /** Watches that fell silent together are found out over this part of the time, not all at once. */
+    private static final int SPREAD_PART = 6;
+    /** So many bytes of a line that is not whole are a sign of life: a list may be long, but not trickle. */
+    private static final int SIGN_OF_LIFE = 4_096;
     /** No version is known, so that the whole list is wanted. */
     private static final long NONE = -1;
-    private static final int CONNECT_MS = 2_000;
+    private static final int CONNECT_MS = 1_000;
     /** A message with an entry for each of 20,000 servers; past it one is malformed. */
     private static final int MAX_MESSAGE = 4 << 20;
     /** So many entries are read in one turn of the loop. */
@@ -61,6 +73,8 @@
     private InetSocketAddress address;
     private final Listener listener;
     private final long silentMs;
+    private final long callMs;
+    private final SplittableRandom random;
     private long revision;
     private Watch watch;
 
@@ -68,15 +82,19 @@
      * No watch yet.
      *
      * @param revision the version of the list that is known
-     * @param silentMs a watch that says nothing for so long has failed
+     * @param silentMs a watch that says nothing for so long has failed, or up to a sixth sooner
+     * @param callMs the same of one that has not said anything yet
+     * @param seed for the spread of that
      */
     public Discovery(EventLoop loop, Network network, InetSocketAddress address, long revision,
-            long silentMs, Listener listener) {
+            long silentMs, long callMs, long seed, Listener listener) {
         this.loop = loop;
         this.network = network;
         this.address = address;
         this.revision = revision;
         this.silentMs = silentMs;
+        this.callMs = callMs;
+        random = new SplittableRandom(seed);
         this.listener = listener;
     }
 
@@ -116,6 +134,9 @@
         private final ByteBuf text = Unpooled.buffer();
         private Channel channel;
         private ScheduledFuture<?> silence;
+        /** Whether a whole line has come, and how many bytes since. */
+        private boolean answered;
+        private int unfinished;
         private boolean over;
         private boolean ended;
         /** How much of the text is known to hold no end of a line. */
@@ -125,7 +146,7 @@
         private int readingLength;
 
         void open() {
-            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+            listen();
             Channel fresh;
             try {
                 fresh = network.connecting();
@@ -202,7 +223,10 @@
                     fail("malformed: " + content.decoderResult().cause());
                     return;
                 }
-                heard();
+                unfinished += content.content().readableBytes();
+                if (unfinished >= SIGN_OF_LIFE) {
+                    heard();
+                }
                 text.writeBytes(content.content());
                 if (reading == null) {
                     lines();
@@ -215,9 +239,34 @@
         }
 
         private void heard() {
+            unfinished = 0;
             listener.onHeard();
-            silence.cancel(false);
-            silence = loop.schedule(() -> fail("silent"), silentMs, TimeUnit.MILLISECONDS);
+            listen();
+        }
+
+        /** Gives it its time from now on. */
+        private void listen() {
+            if (silence != null) {
+                silence.cancel(false);
+            }
+            long mostMs = answered ? silentMs : callMs;
+            silence = loop.schedule(this::onSilence, mostMs - random.nextLong(mostMs / SPREAD_PART + 1),
+                    TimeUnit.MILLISECONDS);
+        }
+
+        /** Its time is up; but a loop that was held up, or a list that takes many turns, is no silence. */
+        private void onSilence() {
+            ScheduledFuture<?> due = silence;
+            if (reading != null) {
+                listen();
+                return;
+            }
+            if (channel != null && channel.isActive()) {
+                network.readNow(channel);
+            }
+            if (!over && silence == due) {
+                fail("silent");
+            }
         }
 
         private void lines() {
@@ -250,6 +299,8 @@
                 }
                 int length = end - text.readerIndex();
                 searched = 0;
+                answered = true;
+                heard();
                 if (!isBlank(length)) {
                     readingLength = length;
                     reading = new ListReader(new InputStreamReader(new ByteBufInputStream(
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -100,7 +100,8 @@
         stall = new Stall(clock);
         sockets = new Sockets(config.sockets());
         discovery = new Discovery(loop, network, config.discovery(), config.known().revision(),
-                Discovery.SILENT_MS, this);
+                Discovery.SILENT_MS, config.settings().listOnRequest ? Discovery.CALL_MS : Discovery.SILENT_MS,
+                config.seed(), this);
         this.seams = seams;
         core();
         clients = new ClientServer(loop, network, sockets, config.settings(),
--- a/src/main/java/vetchpost/simulation/world/Directory.java
+++ b/src/main/java/vetchpost/simulation/world/Directory.java
@@ -27,6 +27,8 @@
     private static final long MOVED_CLOSES_MS = 1_500;
     private static final long LEAST_NOTICE_MS = 20;
     private static final int MORE_NOTICE_MS = 900;
+    /** What a silent watch misses counts as told so long after it fell silent. */
+    private static final long MISSED_COUNTS_MS = 6_000;
     private static final int READ = 4_096;
     private static final int SHRUNKEN_TO = 10;
 
@@ -58,6 +60,7 @@
     private long muteUntilMs;
     private long shrunkenUntilMs;
     private long lateMs;
+    private long callMs;
     private Host host;
 
     /** Bytes on their way, and what to do when they have come to the other side's system. */
@@ -69,6 +72,8 @@
         private final MessageParser parser = new MessageParser(this::asked);
         private final Deque<Outgoing> outbox = new ArrayDeque<>();
         private boolean watching;
+        /** Since when it says nothing, for good; or a time that never comes. */
+        private long silentSinceMs = Long.MAX_VALUE;
 
         Watch(End end) {
             this.end = end;
@@ -87,8 +92,16 @@
         }
 
         private void asked(Message request) {
+            if (callMs > 0) {
+                world.afterMs(callMs, () -> answer(request));
+            } else {
+                answer(request);
+            }
+        }
+
+        private void answer(Message request) {
             if (isMute()) {
-                world.afterMs(muteUntilMs - world.nowMs(), () -> asked(request));
+                world.afterMs(muteUntilMs - world.nowMs(), () -> answer(request));
                 return;
             }
             if (!end.isOpen()) {
@@ -105,7 +118,7 @@
         private void beat() {
             world.afterMs(BEAT_MS, () -> {
                 if (end.isOpen()) {
-                    if (!isMute()) {
+                    if (!isMute() && !isSilent()) {
                         chunk("\n", () -> { });
                     }
                     beat();
@@ -113,6 +126,10 @@
             });
         }
 
+        private boolean isSilent() {
+            return world.nowMs() >= silentSinceMs;
+        }
+
         private void chunk(String text, Runnable whenDelivered) {
             outbox.add(new Outgoing((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n")
                     .getBytes(StandardCharsets.US_ASCII), whenDelivered));
@@ -144,6 +161,12 @@
             if (!watching || !end.isOpen()) {
                 return;
             }
+            if (isSilent()) {
+                // It counts as told, whether or not another watch has brought it by then.
+                world.afterMs(Math.max(0, silentSinceMs + MISSED_COUNTS_MS - world.nowMs()),
+                        () -> some.forEach(e -> told.told(end, e.id, e.state, e.startedNs, e.json())));
+                return;
+            }
             chunk("{\"rev\":" + revision + ",\"all\":" + all + ",\"targets\":["
                     + some.stream().map(Entry::json).collect(Collectors.joining(",")) + "]}\n", () -> {
                 for (Entry entry : some) {
@@ -260,6 +283,16 @@
         lateMs = byMs;
     }
 
+    /** From now on a call waits in turn for so long. */
+    public void calls(long waitMs) {
+        callMs = waitMs;
+    }
+
+    /** The watches that are open now stay open and say nothing more. */
+    public void silence() {
+        watches.forEach(w -> w.silentSinceMs = Math.min(w.silentSinceMs, world.nowMs()));
+    }
+
     /** All watches end. */
     public void breakWatches() {
         new ArrayList<>(watches).forEach(w -> w.end.reset());
--- a/src/test/java/vetchpost/discovery/DiscoveryTest.java
+++ b/src/test/java/vetchpost/discovery/DiscoveryTest.java
@@ -8,6 +8,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -31,6 +32,8 @@
 class DiscoveryTest implements Discovery.Listener {
     private final BlockingQueue<ServerList> lists = new LinkedBlockingQueue<>();
     private final BlockingQueue<String> failures = new LinkedBlockingQueue<>();
+    /** The next list holds the loop up until this. */
+    private volatile CountDownLatch hold;
     private EventLoopGroup group;
     private FakePeer peer;
     private int port;
@@ -38,6 +41,15 @@
     @Override
     public void onList(ServerList list) {
         lists.add(list);
+        CountDownLatch go = hold;
+        hold = null;
+        if (go != null) {
+            try {
+                go.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
     }
 
     @Override
@@ -61,7 +73,7 @@
     private Discovery subscribe(long silentMs) throws Exception {
         EventLoop loop = group.next();
         Discovery discovery = new Discovery(loop, Network.SYSTEM, new InetSocketAddress("127.0.0.1", port),
-                41, silentMs, this);
+                41, silentMs, silentMs, 1, this);
         loop.submit(discovery::subscribe).get();
         return discovery;
     }
@@ -131,6 +143,44 @@
         failsOnce();
     }
 
+    /** Bytes that never make a line are no news: only whole lines are, or many bytes. */
+    @Test
+    void aLineThatTricklesIsSilence() throws Exception {
+        subscribe(500);
+        Socket watch = FakePeer.soon(peer.accepted);
+        peer.nextRequest();
+        Fixture.beginWatch(watch);
+        String failure = null;
+        for (int i = 0; failure == null && i < 100; i++) {
+            FakePeer.write(watch, "1\r\n \r\n");
+            failure = failures.poll(100, TimeUnit.MILLISECONDS);
+        }
+        assertEquals("silent", failure);
+    }
+
+    /** The loop is held up past the time by what a line brought, and the next line lies unread meanwhile. */
+    @Test
+    void aLineThatAHeldUpLoopHasNotReadIsNoSilence() throws Exception {
+        subscribe(300);
+        Socket watch = FakePeer.soon(peer.accepted);
+        peer.nextRequest();
+        Fixture.beginWatch(watch);
+        for (int i = 0; i < 3; i++) {
+            CountDownLatch go = new CountDownLatch(1);
+            hold = go;
+            String held = Fixture.list(42 + 2 * i, false, "Ready", peer);
+            Fixture.line(watch, held);
+            assertEquals(ServerListParser.parse(held), FakePeer.soon(lists));
+            String unread = Fixture.list(43 + 2 * i, false, "Ready", peer);
+            Fixture.line(watch, unread);
+            // No sign of life is read while its time passes.
+            assertEquals(null, failures.poll(400, TimeUnit.MILLISECONDS));
+            go.countDown();
+            assertEquals(ServerListParser.parse(unread), FakePeer.soon(lists));
+        }
+        assertTrue(failures.isEmpty(), () -> "failed: " + failures);
+    }
+
     @Test
     void anAddressWhereNobodyListensIsTold() throws Exception {
         try (ServerSocket unused = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
--- a/src/test/java/vetchpost/simulation/HardCasesTest.java
+++ b/src/test/java/vetchpost/simulation/HardCasesTest.java
@@ -290,6 +290,30 @@
         }
     }
 
+    /** Whenever it falls silent between two of its lines, whatever time passes until the first change; and the
+     * next call waits in turn. */
+    @ParameterizedTest
+    @ValueSource(booleans = {true, false})
+    void aWatchFallenSilentJustBeforeADrain(boolean pushed) {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Stage stage = new Stage(seed, 3, 1, pushed);
+            stage.runMs(seed * 37 % 2_000);
+            stage.directory.silence();
+            stage.directory.calls(1_500);
+            stage.runMs(seed * 91 % 3_000);
+            stage.directory.changedNow(stage.boxes.get(0), "Terminating");
+            List<Stage.Asker> views = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                views.add(stage.view(WAIT_MS));
+                stage.runMs(20);
+            }
+            stage.runMs(WAIT_MS);
+            views.forEach(v -> assertEquals(200, v.status()));
+            stage.end();
+            assertKept(stage, seed);
+        }
+    }
+
     /** The new one is told of, and the end of the old one not: it must not be sent a warm box's share. */
     @Test
     void aBoxAtTheAddressOfOneThatWasNotTakenBack() {
