See that a client has left whatever it has sent ahead, and send nothing on for it

Two places, both made to happen over loopback. - From 16 requests ahead on the connection was not read at all. A client that sent 400 at once and left was not noticed before an answer came: its first request kept its attempt to the end of its time (10 s and more in the test), and each answer sent one more of the rest on. - A loop that was held up reads sockets in any order: an answer read before the client's end lets the module send what waits, also for clients whose end lies there since 0.4 s.

Now what comes beyond 16 ahead is read and kept as bytes on the heap (ReadAhead, 256 KiB a connection, counted with what is in hand; beyond that, as before, not read), so the end is seen as it comes. Where the loop is 50 ms behind, the client's socket is looked at before an attempt is made for it; that is one system call an attempt, and none on a loop that keeps up.

Tests in CrowdedNodeTest, each seen to fail on the source before: much sent at once and gone, by close and by reset (nobody noticed within 5 s); the end and the answer in one turn (the next was sent on); gone while the loop was held up (sent on). A half-close counts as gone, as before: on the wire it is the same as a close until something is written.

--- a/src/main/java/vetchpost/core/ClientReply.java
+++ b/src/main/java/vetchpost/core/ClientReply.java
@@ -30,6 +30,14 @@
         return 0;
     }
 
+    /**
+     * Whether the client has left, as far as its system already tells, though nothing may have been told of it
+     * yet: a loop that was held up has not looked. Costs a system call.
+     */
+    default boolean hasLeft() {
+        return false;
+    }
+
     /** What to do, once, if the client leaves before its answer. */
     void whenGone(Runnable action);
 }
--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -32,6 +32,9 @@
     private static final long ANSWER_MARGIN_US = 25_000;
     private static final int ANSWER_MARGIN_PART = 8;
     private static final long PROBE_US = 250_000;
+    /** A loop that is so far behind may not have read yet that a client has left: it is looked at before more
+     * is done for it. A sixth of the time in which that has to be known, and rare on a loop that keeps up. */
+    private static final long LOOK_FROM_US = 50_000;
 
     private final Clock clock;
     private final Stall stall;
@@ -561,6 +564,9 @@
             log.line("send", RequestLog.id(requestId), "attempt", sent.number, serverId, "for", until - now,
                     "us");
         }
+        if (!request.over && stall.us() >= LOOK_FROM_US && request.reply.hasLeft()) {
+            leave(request);
+        }
         if (request.over || now >= until) {
             sent.ended(Result.MOOT, null);
             return;
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -35,8 +35,10 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ClientLine {
     private static final Logger LOG = System.getLogger(ClientConnection.class.getName());
     private static final int MAX_BODY = 64 * 1024;
-    /** Requests that a client may send ahead of its answers before it is no longer read. */
+    /** Requests that a client may send ahead of its answers before what else comes is kept unread ... */
     private static final int MOST_AHEAD = 16;
+    /** ... up to so many bytes, so that its end is noticed. */
+    private static final int MOST_KEPT = 256 * 1024;
     /** Requests one after the other that can't be used; a client that sends more doesn't mean to ask. */
     private static final int MOST_BAD = 4;
     /** How long a connection may be without a whole request at its start, and how long one may take from
@@ -73,6 +75,7 @@
     private boolean unwelcome;
     /** Once it begins: what is held and waits is answered, then the connection closed. */
     private final Deafness deafness = new Deafness(MOST_THROWN_AWAY);
+    private final ReadAhead readAhead;
     private boolean ending;
     private boolean answerSpoilt;
     /** Why this side closes it; null until it does. */
@@ -81,6 +84,7 @@
     private ClientConnection(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
+        readAhead = new ReadAhead(server.inHand(), MOST_KEPT);
         openedNs = server.nanos();
         number = server.nextNumber();
     }
@@ -88,8 +92,8 @@
     /** Sets up a client's connection. */
     static void open(ClientServer server, ChannelPipeline pipeline) {
         ClientConnection connection = new ClientConnection(server, pipeline.channel());
-        pipeline.addLast(connection.deafness, connection.decoder, new HttpResponseEncoder(),
-                connection.new BodyReader(), connection);
+        pipeline.addLast(connection.readAhead, connection.deafness, connection.decoder,
+                new HttpResponseEncoder(), connection.new BodyReader(), connection);
     }
 
     @Override
@@ -144,6 +148,12 @@
         }
     }
 
+    /** Whether the client has not left, as far as its system tells by now. */
+    boolean isThere() {
+        readNow();
+        return channel.isActive();
+    }
+
     /** Whether it has waited too long for the rest of a request, or for its first. */
     private boolean isOverdue(long nowNs) {
         if (held != null || !ahead.isEmpty() || !channel.isActive()) {
@@ -207,7 +217,9 @@
             channel.eventLoop().execute(this::takeAhead);
         }
         ahead.add(new Ahead(http, now - server.layNs(), cost));
-        channel.config().setAutoRead(ahead.size() < MOST_AHEAD);
+        if (ahead.size() >= MOST_AHEAD) {
+            readAhead.keep();
+        }
     }
 
     @Override
@@ -376,11 +388,15 @@
 
     private void takeAhead() {
         // One that has closed is told of only by a later task.
-        Ahead next = held == null && !ending && channel.isActive() ? ahead.poll() : null;
-        if (next != null) {
-            channel.config().setAutoRead(true);
-            take(next.http, next.arrivedNs, next.cost);
+        if (held != null || ending || ahead.isEmpty() || !channel.isActive()) {
+            return;
+        }
+        if (ahead.size() <= MOST_AHEAD) {
+            // First, while what is taken next still stands in line: what comes may have to be rejected.
+            readAhead.letGo();
         }
+        Ahead next = ahead.poll();
+        take(next.http, next.arrivedNs, next.cost);
     }
 
     private static FullHttpResponse closing(FullHttpResponse response) {
--- a/src/main/java/vetchpost/http/HttpReply.java
+++ b/src/main/java/vetchpost/http/HttpReply.java
@@ -29,6 +29,11 @@
         return connection.number();
     }
 
+    @Override
+    public boolean hasLeft() {
+        return !connection.isThere();
+    }
+
     @Override
     public void whenGone(Runnable action) {
         whenGone = action;
--- a/src/test/java/vetchpost/node/CrowdedNodeTest.java
+++ b/src/test/java/vetchpost/node/CrowdedNodeTest.java
@@ -354,6 +354,88 @@
         assertEquals(200, status(answeredBy(FakePeer.answer("200 OK", "", "done"))));
     }
 
+    /**
+     * More than are read ahead, sent at once, and the client gone behind them while the first waits at its
+     * server: neither the rest nor a further try is sent on, and the node notices without an answer.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void nothingIsSentForAClientThatSentMuchAndLeft(boolean reset) throws Exception {
+        server.script(FakePeer.SILENT);
+        start(1_024);
+        Socket client = connect();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 400; i++) {
+            all.append(Fixture.request("GET", "/view/" + "x".repeat(100), i, "", ""));
+        }
+        FakePeer.write(client, all.toString());
+        server.nextRequest();
+        if (reset) {
+            client.setSoLinger(true, 0);
+        }
+        client.close();
+        // The attempt is given up long before its time, which is ten seconds and more.
+        assertNotNull(server.ended.poll(5, TimeUnit.SECONDS), "nobody has noticed");
+        assertEquals(0, loop.submit(node::inHand).get().bytes());
+        assertTrue(server.requests.isEmpty(), "sent on for nobody: " + server.requests.size());
+    }
+
+    /** The same, found out when the answer comes, in the turn in which the next would be taken. */
+    @Test
+    void theAnswerToOneThatLeftSendsNoneOfTheRest() throws Exception {
+        server.script(FakePeer.SILENT);
+        start(1_024);
+        Socket client = connect();
+        StringBuilder all = new StringBuilder();
+        for (int i = 0; i < 100; i++) {
+            all.append(Fixture.request("GET", "/view", i, "", ""));
+        }
+        FakePeer.write(client, all.toString());
+        server.nextRequest();
+        Socket attempt = FakePeer.soon(server.accepted);
+        // Held up, so that the end and the answer lie there together.
+        CountDownLatch go = holdUp(0);
+        client.close();
+        FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        go.countDown();
+        ask(connect(), 500);
+        assertTrue(server.nextRequest().contains(String.format("%016x", 500)), "sent on for nobody");
+        assertEquals(0, loop.submit(() -> node.inHand().requests()).get() - 1);
+    }
+
+    /** What waits for room is not sent in the turn in which a loop that was held up finds its client gone. */
+    @Test
+    void whoLeftWhileTheLoopWasHeldUpIsSentNowhere() throws Exception {
+        server.script(FakePeer.SILENT);
+        start(1_024);
+        List<Socket> waiting = new ArrayList<>();
+        List<Socket> attempts = new ArrayList<>();
+        // As many as one server is given at first; what comes behind waits in the module.
+        int out = 0;
+        for (int i = 0; i < 40; i++) {
+            waiting.add(ask(i));
+        }
+        for (Socket attempt = FakePeer.soon(server.accepted); attempt != null;
+                attempt = server.accepted.poll(500, TimeUnit.MILLISECONDS)) {
+            attempts.add(attempt);
+            out++;
+        }
+        assertTrue(out < 40, "none waits: " + out);
+        List<String> sent = new ArrayList<>();
+        server.requests.drainTo(sent);
+        CountDownLatch go = holdUp(400);
+        for (Socket attempt : attempts) {
+            FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
+        }
+        for (Socket client : waiting) {
+            client.close();
+        }
+        go.countDown();
+        ask(500);
+        String next = server.nextRequest();
+        assertTrue(next.contains(String.format("%016x", 500)), "sent on for nobody: " + next);
+    }
+
     private String answeredBy(FakePeer.Script script) throws Exception {
         server.script(script);
         return FakePeer.read(ask(77));
