Send nothing on a connection that comes up after its server's drain was told

Read for the drain's rule: an attempt that waits for a connection is sent when that comes up. Nobody looked at the list's word in between.

Now what waits for a connection to a server that drains, has gone or is left out of a whole list ends at once as "could not connect" (never ran), and the module passes it on in the same turn, sooner than the connect would have told.

Also: a pool put itself in the place of the one before as the way to close idle connections for room, so that after a reload (or one that failed) the other pool's were out of reach. Each pool now adds its way and takes it back.

Tests over loopback with dial and word in one turn of the loop, for each of the three words: all three were sent without the mend (seen).

--- a/src/main/java/vetchpost/http/ServerPool.java
+++ b/src/main/java/vetchpost/http/ServerPool.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import vetchpost.core.Answer;
 import vetchpost.core.ServerList;
@@ -136,6 +137,7 @@
     private final Bootstrap bootstrap;
     private final long keepIdleNs;
     private final ScheduledFuture<?> sweeper;
+    private final BooleanSupplier closeIdle = this::closeOldestIdle;
     private final Map<String, Server> servers = new HashMap<>();
 
     /**
@@ -161,13 +163,14 @@
         bootstrap = new Bootstrap().group(loop).disableResolver()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.max(1, dialTimeoutUs / 1_000))
                 .option(ChannelOption.TCP_NODELAY, true);
-        sockets.serverSide(this::closeOldestIdle);
+        sockets.addServerSide(closeIdle);
         sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void close() {
         sweeper.cancel(false);
+        sockets.removeServerSide(closeIdle);
         for (Server server : servers.values()) {
             server.gone = true;
             closeIdle(server);
@@ -185,6 +188,9 @@
             server.address = target.address();
             server.bootMs = target.bootMs();
             server.gone = target.state() == ServerState.GONE;
+            if (target.state() != ServerState.READY) {
+                endWaiting(server);
+            }
             if (moved || restarted) {
                 server.generation++;
                 server.dialing = 0;
@@ -197,7 +203,7 @@
         }
         if (list.all()) {
             servers.forEach((id, server) -> server.gone |= !named.contains(id));
-            servers.values().stream().filter(s -> s.gone).forEach(ServerPool::closeIdle);
+            servers.values().stream().filter(s -> s.gone).forEach(ServerPool::letGo);
             servers.values().removeIf(s -> s.gone && s.waiting.isEmpty());
         } else {
             named.forEach(this::forgetIfGone);
@@ -207,7 +213,7 @@
     private void forgetIfGone(String id) {
         Server server = servers.get(id);
         if (server.gone) {
-            closeIdle(server);
+            letGo(server);
             if (server.waiting.isEmpty()) {
                 servers.remove(id);
             }
@@ -337,6 +343,18 @@
         servers.values().removeIf(s -> s.gone && s.waiting.isEmpty());
     }
 
+    /** The first byte would leave whenever a connection comes up, maybe past the grace of its drain or end. */
+    private static void endWaiting(Server server) {
+        while (!server.waiting.isEmpty()) {
+            server.waiting.poll().end(Result.CONNECT_FAILED, null);
+        }
+    }
+
+    private static void letGo(Server server) {
+        closeIdle(server);
+        endWaiting(server);
+    }
+
     private static void closeIdle(Server server) {
         Collection<Connection> idle = new ArrayList<>(server.idle);
         server.idle.clear();
--- a/src/main/java/vetchpost/net/Sockets.java
+++ b/src/main/java/vetchpost/net/Sockets.java
@@ -1,5 +1,7 @@
 package vetchpost.net;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BooleanSupplier;
 
 /**
@@ -38,7 +40,8 @@
     private final int crowd;
     private final int manyClients;
     private BooleanSupplier closeIdleClient = () -> false;
-    private BooleanSupplier closeIdleServer = () -> false;
+    /** One for each pool, the oldest first: it is the one that takes nothing new. */
+    private final List<BooleanSupplier> closeIdleServer = new ArrayList<>(1);
     private Runnable onRoom = () -> { };
     private int clients;
     private int servers;
@@ -59,9 +62,14 @@
         onRoom = whenRoom;
     }
 
-    /** How to close an idle connection to a server. */
-    public void serverSide(BooleanSupplier closeIdle) {
-        closeIdleServer = closeIdle;
+    /** One more way to close an idle connection to a server. */
+    public void addServerSide(BooleanSupplier closeIdle) {
+        closeIdleServer.add(closeIdle);
+    }
+
+    /** There is nothing to be closed that way any more. */
+    public void removeServerSide(BooleanSupplier closeIdle) {
+        closeIdleServer.remove(closeIdle);
     }
 
     public boolean isClientRoom() {
@@ -153,6 +161,11 @@
      * but of none to a server.
      */
     public boolean closeIdle() {
-        return closeIdleServer.getAsBoolean() || closeIdleClient.getAsBoolean();
+        for (BooleanSupplier way : closeIdleServer) {
+            if (way.getAsBoolean()) {
+                return true;
+            }
+        }
+        return closeIdleClient.getAsBoolean();
     }
 }
--- a/src/test/java/vetchpost/http/ServerPoolTest.java
+++ b/src/test/java/vetchpost/http/ServerPoolTest.java
@@ -306,6 +306,29 @@
         assertTrue(server.requests.isEmpty());
     }
 
+    /** Told between the dial and the connection: however late that comes up, nothing is sent on it. */
+    @ParameterizedTest
+    @ValueSource(strings = {"Terminating", "Gone", "left out"})
+    void whatWaitsForAConnectionIsNotSentToAServerThatDrains(String state) throws Exception {
+        ServerPool pool = pool(server.address(), IDLE_US);
+        Probe probe = new Probe(10);
+        boolean named = !state.equals("left out");
+        ServerList list = ServerListParser.parse("{\"rev\":2,\"all\":" + !named + ",\"targets\":[" + (named
+                ? "{\"uid\":\"s\",\"endpoint\":\"" + server.address() + "\",\"state\":\"" + state + "\"}" : "")
+                + "]}");
+        loop.submit(() -> {
+            pool.start("s", probe);
+            pool.update(list);
+        }).get();
+        assertEquals(Result.CONNECT_FAILED, probe.report().result());
+        // Its dial is through, and has been looked at.
+        FakePeer.soon(server.accepted);
+        loop.submit(() -> { }).get();
+        loop.submit(pool::close).get();
+        FakePeer.soon(server.ended);
+        assertTrue(server.requests.isEmpty(), "sent after it was told");
+    }
+
     @Test
     void connectionsAreReusedMostRecentFirst() throws Exception {
         BlockingQueue<Socket> used = new LinkedBlockingQueue<>();
--- a/src/test/java/vetchpost/net/SocketsTest.java
+++ b/src/test/java/vetchpost/net/SocketsTest.java
@@ -4,6 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -47,6 +51,25 @@
         assertTrue(servers > 0, "no room for servers");
     }
 
+    /** While a core ends what it has, its pool and the one in its place both hold idle connections. */
+    @Test
+    void roomIsMadeInEachPoolTheOldestFirst() {
+        Sockets sockets = new Sockets(1_024);
+        List<String> closed = new ArrayList<>();
+        BooleanSupplier old = () -> closed.size() < 2 && closed.add("old");
+        sockets.addServerSide(old);
+        sockets.addServerSide(() -> closed.size() < 3 && closed.add("new"));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(sockets.closeIdle());
+        }
+        assertFalse(sockets.closeIdle());
+        assertEquals(List.of("old", "old", "new"), closed);
+        closed.clear();
+        sockets.removeServerSide(old);
+        assertTrue(sockets.closeIdle());
+        assertEquals(List.of("new"), closed);
+    }
+
     @ParameterizedTest
     @ValueSource(ints = {128, 256, 1_024})
     void clientsThatAreOnlyTurnedAwayTakeNoServersPlace(int limit) {
