Take in a pushed list before anybody can connect, and ask for a list once at a time

It asks as the warm-up begins, and opens its address once the list has come, or 1 s later if the agent is silent. - SIGHUP in the warm-up opened a watch before the known list was taken in, which then went over newer news, and was asked a second time. It only moves the address now. - A call made by a move was closed and made again by the module's back-off. The module's call is answered by one that is on its way. - A pushed watch that was lost stayed so for 500 ms, whatever the drain's grace. Now it is opened at once, and paced by a quarter of the grace (500 ms at most) where it is lost again and again. - A change of the settings left what waited of a large list in the old core, past the watch's version: 1,002 of 3,002 servers were known after it. And a core that only ends what it has could have the watch opened anew.

--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -718,6 +718,13 @@
         takeLists();
     }
 
+    /** Goes through with all that waits of lists, in this turn. */
+    public void takeAllLists() {
+        while (intake.hasNext()) {
+            takeSlice(intake.next());
+        }
+    }
+
     /** The watch on the list has failed. */
     public void onListFailed() {
         enter(null, () -> balancer.onListFailed(clock.nowUs()));
--- a/src/main/java/vetchpost/discovery/Discovery.java
+++ b/src/main/java/vetchpost/discovery/Discovery.java
@@ -77,6 +77,7 @@
     private final SplittableRandom random;
     private long revision;
     private Watch watch;
+    private boolean begun;
 
     /**
      * No watch yet.
@@ -100,6 +101,7 @@
 
     /** Asks for changes from now on; takes the place of a watch that is still open. */
     public void subscribe() {
+        begun = true;
         if (watch != null) {
             watch.close();
         }
@@ -107,15 +109,28 @@
         watch.open();
     }
 
-    /** Asks there from now on, at once. The versions of one address say nothing at another. */
+    /** Asks there from now on, and at once if it has asked before. The versions of one address say nothing at
+     * another. */
     public void moveTo(InetSocketAddress to) {
         if (!to.equals(address)) {
             address = to;
             revision = NONE;
-            subscribe();
+            if (begun) {
+                subscribe();
+            }
         }
     }
 
+    /** Whether a watch is open, or a call on its way to be one. */
+    public boolean isOpen() {
+        return watch != null;
+    }
+
+    /** Whether a call is on its way and has said nothing yet: what is wanted of another is still to come. */
+    public boolean isAsking() {
+        return watch != null && !watch.answered;
+    }
+
     /** Asks for the whole list, whatever version is known, and for changes from then on. */
     public void askWhole() {
         revision = NONE;
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -38,8 +38,13 @@
 public final class Node implements Discovery.Listener {
     private static final Logger LOG = System.getLogger(Node.class.getName());
 
-    /** A pushed list costs nothing to ask for. */
+    /** Between two calls for a pushed list, which cost nothing, at most: what is missed meanwhile counts. */
     private static final long WATCH_AGAIN_MS = 500;
+    /** ... and at most this part of the time in which a drain has to be kept. */
+    private static final int WATCH_AGAIN_PART = 4;
+    /** How long a new process waits for a pushed list, which counts as told before it asks. An agent that has
+     * said nothing by then is silent because discovery is down: then the known list has to do. */
+    private static final long FIRST_LIST_MS = 1_000;
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
@@ -63,6 +68,13 @@
     private final LoopClock clock;
     private final Fronts fronts;
     private Companion companion;
+    private final long watchAgainNs;
+    private long askedNs;
+    /** Pushed lists that have come before the known one is taken in, while the node warms up. */
+    private final List<ServerList> early = new ArrayList<>();
+    /** What waits for the first list, or null. */
+    private Runnable onFirstList;
+    private boolean listed;
     private boolean prepared;
     private boolean rehearsing;
     private boolean stopping;
@@ -103,6 +115,8 @@
                 Discovery.SILENT_MS, config.settings().listOnRequest ? Discovery.CALL_MS : Discovery.SILENT_MS,
                 config.seed(), this);
         this.seams = seams;
+        watchAgainNs = TimeUnit.MILLISECONDS.toNanos(Math.max(1, Math.min(WATCH_AGAIN_MS,
+                config.settings().drainGraceUs / 1_000 / WATCH_AGAIN_PART)));
         core();
         clients = new ClientServer(loop, network, sockets, config.settings(),
                 (request, reply, waitedUs) -> dispatcher.take(seams.request(request), seams.reply(reply),
@@ -115,9 +129,18 @@
         Settings settings = config.settings();
         pool = new ServerPool(loop, network, sockets, settings.connectTimeoutUs, config.connIdleUs(),
                 fronts == null ? null : fronts.servers());
-        dispatcher = new Dispatcher(clock, stall, seams.servers(pool), settings.zones, this::subscribe,
-                this::askWholeList, settings.drainGraceUs / 2,
-                actions -> seams.module(settings, config.seed(), actions));
+        // A core that only ends what it has must not have the watch opened anew under the one in its place.
+        Dispatcher[] core = new Dispatcher[1];
+        dispatcher = new Dispatcher(clock, stall, seams.servers(pool), settings.zones,
+                () -> onlyFor(core[0], this::subscribe), () -> onlyFor(core[0], this::askWholeList),
+                settings.drainGraceUs / 2, actions -> seams.module(settings, config.seed(), actions));
+        core[0] = dispatcher;
+    }
+
+    private void onlyFor(Dispatcher core, Runnable action) {
+        if (core == dispatcher) {
+            action.run();
+        }
     }
 
     /**
@@ -144,6 +167,8 @@
         retired.add(new Retired(old, oldPool));
         dispatcher.witness(witness);
         dispatcher.recorder(recorder);
+        // The watch is past what waits there: nobody would tell it again.
+        old.takeAllLists();
         List<ServerList.Target> servers = old.known();
         dispatcher.onKnownList(new ServerList(0, true, servers));
         dispatcher.recall(old.knowledge(servers.stream().map(ServerList.Target::id).toList()));
@@ -189,13 +214,39 @@
         LOG.log(Level.INFO, "warming up");
         String token = token();
         clients.setRehearsal(token);
+        if (isPushed()) {
+            // Its list counts as told from the first moment on; it comes while the code gets warm.
+            askPushed();
+        }
         new Rehearsal(loop, new MemoryNetwork(clients::open), config, fronts, config.listen(), token,
                 rehearsed, REHEARSE_MS, () -> afterAWait(() -> {
                     prepare();
-                    afterAWait(then);
+                    afterFirstList(() -> afterAWait(then));
                 })).run();
     }
 
+    private boolean isPushed() {
+        return !config.settings().listOnRequest && config.discovery() != null;
+    }
+
+    /** Runs it once a pushed list has come, or has not for a while; at once where lists are asked for. */
+    private void afterFirstList(Runnable then) {
+        if (!isPushed() || listed) {
+            then.run();
+            return;
+        }
+        onFirstList = then;
+        loop.schedule(this::firstList, FIRST_LIST_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void firstList() {
+        Runnable then = onFirstList;
+        onFirstList = null;
+        if (then != null) {
+            then.run();
+        }
+    }
+
     /**
      * Runs it once the loop has waited, however shortly, unless the node is to stop by then. Where a process
      * has a part of a processor, it pays for a long stretch of work in that wait; what is opened at the
@@ -226,8 +277,10 @@
         stall.watch();
         dispatcher.onKnownList(companion == null ? config.known()
                 : companion.begin(config.known(), clock.nowUs()));
-        if (!config.settings().listOnRequest && config.discovery() != null) {
-            discovery.subscribe();
+        early.forEach(this::takeIn);
+        early.clear();
+        if (isPushed() && !discovery.isOpen()) {
+            askPushed();
         }
     }
 
@@ -386,8 +439,16 @@
         return new InHand(held, clients.bytesInHand(), sockets.open());
     }
 
+    /** For the module: a call that is on its way already, after a move say, answers it too. */
     private void subscribe() {
-        if (!rehearsing && !closed && config.discovery() != null) {
+        if (!rehearsing && !closed && config.discovery() != null && !discovery.isAsking()) {
+            discovery.subscribe();
+        }
+    }
+
+    private void askPushed() {
+        if (!closed && !discovery.isOpen()) {
+            askedNs = loop.ticker().nanoTime();
             discovery.subscribe();
         }
     }
@@ -402,6 +463,17 @@
 
     @Override
     public void onList(ServerList list) {
+        listed = true;
+        if (prepared) {
+            takeIn(list);
+        } else {
+            // It is newer than the known list, and must not be gone over by it.
+            early.add(list);
+        }
+        firstList();
+    }
+
+    private void takeIn(ServerList list) {
         dispatcher.onList(list);
         retired.forEach(r -> r.dispatcher.onList(list));
         if (companion != null) {
@@ -419,9 +491,12 @@
     @Override
     public void onWatchFailed(String reason) {
         LOG.log(Level.INFO, "the watch on the list failed: {0}", reason);
-        dispatcher.onListFailed();
-        if (!config.settings().listOnRequest) {
-            loop.schedule(this::subscribe, WATCH_AGAIN_MS, TimeUnit.MILLISECONDS);
+        if (isPushed()) {
+            // At once after one that has been open for a while.
+            long sinceNs = loop.ticker().nanoTime() - askedNs;
+            loop.schedule(this::askPushed, Math.max(TimeUnit.MILLISECONDS.toNanos(WAIT_MS),
+                    watchAgainNs - sinceNs), TimeUnit.NANOSECONDS);
         }
+        dispatcher.onListFailed();
     }
 }
