Let a stopping process look at its sockets once more after its last answer

Read for the stop: the process halted in the turn in which its last connection had ended, 0 to 5 ms after the last answer was written. A channel that Java closes while it is registered is closed by the system only when the selector has been looked at again, so the halt came first: a counted loop shows not one wait between the two (1661, then 1661, in the test).

Whether that has cost a request is not known.

Now it waits 50 ms more, which no client and no restart notices. The test counts the loop's waits between the end of the last connection and the end.

--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -48,6 +48,9 @@
     /** Connections come for up to 0.4 s after the word to stop, and their requests just after. */
     private static final long ACCEPT_WHILE_STOPPING_MS = 600;
     private static final long DONE_CHECK_MS = 5;
+    /** From the end of the last connection to the process's: the system really closes a socket only when the
+     * loop has looked at its selector again, and the last answer has its way to go. */
+    private static final long LAST_ANSWER_MS = 50;
     private static final long WAIT_MS = 1;
     /** A rehearsal cut short is better than a node that stays away: a slow machine gets this far. */
     private static final long REHEARSE_MS = 1_500;
@@ -422,7 +425,7 @@
 
     private void runWhenDone(Runnable done) {
         if (clients.isDone()) {
-            done.run();
+            loop.schedule(done, LAST_ANSWER_MS, TimeUnit.MILLISECONDS);
         } else {
             loop.schedule(() -> runWhenDone(done), DONE_CHECK_MS, TimeUnit.MILLISECONDS);
         }
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -571,6 +571,49 @@
         }
     }
 
+    /** A socket that is closed is closed by the system when its loop has waited again, and not before. */
+    @Test
+    void aStoppingNodeWaitsOnceMoreAfterItsLastConnectionHasEnded() throws Exception {
+        AtomicInteger waits = new AtomicInteger();
+        EventLoopGroup counted = new MultiThreadIoEventLoopGroup(1, counted(waits));
+        try {
+            EventLoop loop = counted.next();
+            String file = Fixture.write(Fixture.config(discovery, first)).toString();
+            Config config = Config.read(Map.of("LB_CONFIG", file));
+            first.script(FakePeer.SILENT);
+            Node node = loop.submit(() -> new Node(config, loop)).get();
+            Channel channel = loop.submit(() -> node.start(counted, 0, () -> { })).get().sync().channel();
+            client = connect(((InetSocketAddress) channel.localAddress()).getPort());
+            FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "x"));
+            first.nextRequest();
+            CountDownLatch stopped = new CountDownLatch(1);
+            int[] seen = {-1, -1};
+            loop.execute(() -> node.stop(() -> {
+                seen[1] = waits.get();
+                stopped.countDown();
+            }));
+            // Long after it has ceased to listen, so that the answer is the last thing of all.
+            assertFalse(stopped.await(1, TimeUnit.SECONDS), "stopped with a request in hand");
+            loop.execute(new Runnable() {
+                @Override
+                public void run() {
+                    if (node.inHand().sockets() > 1) {
+                        loop.schedule(this, 1, TimeUnit.MICROSECONDS);
+                    } else {
+                        seen[0] = waits.get();
+                    }
+                }
+            });
+            FakePeer.write(FakePeer.soon(first.accepted), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            assertEquals(200, status(FakePeer.read(client)));
+            assertTrue(stopped.await(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "never stopped");
+            assertTrue(seen[0] >= 0 && seen[1] > seen[0] + 1, "waits: " + seen[0] + ", then " + seen[1]);
+            loop.submit(node::close).get();
+        } finally {
+            counted.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
+        }
+    }
+
     @Test
     void aNodeThatIsToStopWhileItWarmsUpNeverListens() throws Exception {
         // What came to it then would be taken by a process that is about to end.
