Tell zones apart that only the list names, and wait for a request as long as its client may

Read for other customers' settings, two constants of the platform's path: - All zones that the settings do not name had the number -1, so that a keyed request that stays with its zone could be repeated in another one of them: an effect twice. They have numbers of their own now (4,096 names at most; the module compares them and nothing else). - Half a request, the wait for a first one and an answer that is not read were given 2 s because "no client waits so long for an answer"; the protocol allows deadlines of 3 s. The time is now the longest deadline in the settings, within 2 and 3 s.

Tests seen to fail before: a keyed request whose first attempt failed in zone x went on to zone y; half a request of a client that may wait 30 s was answered 408 at 2.8 s.

--- a/src/main/java/vetchpost/core/Dispatcher.java
+++ b/src/main/java/vetchpost/core/Dispatcher.java
@@ -36,6 +36,9 @@
      * is done for it. A sixth of the time in which that has to be known, and rare on a loop that keeps up. */
     private static final long LOOK_FROM_US = 50_000;
 
+    /** Names of zones that are told apart, those of the settings and others; far more than any list has. */
+    private static final int MOST_ZONES = 4_096;
+
     private final Clock clock;
     private final Stall stall;
     private final ServerTransport servers;
@@ -734,11 +737,23 @@
         tell(subset == null ? told : subset.of(told));
     }
 
+    /** A zone that the settings don't name is one all the same: what may have run there must stay there. */
+    private int zone(String name) {
+        Integer known = zones.get(name);
+        if (known == null) {
+            known = zones.size() < MOST_ZONES ? -2 - zones.size() : -1;
+            if (known != -1) {
+                zones.put(name, known);
+            }
+        }
+        return known;
+    }
+
     private void tell(ListIntake.Slice slice) {
         ServerList list = slice.list();
         List<ServerEntry> entries = new ArrayList<>();
         for (ServerList.Target target : list.targets()) {
-            entries.add(new ServerEntry(target.id(), zones.getOrDefault(target.zone(), -1), target.cell(),
+            entries.add(new ServerEntry(target.id(), zone(target.zone()), target.cell(),
                     target.state(), target.weight(), 1_000 * target.bootMs()));
         }
         enter(null, () -> {
--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -41,9 +41,6 @@
     private static final int MOST_KEPT = 256 * 1024;
     /** Requests one after the other that can't be used; a client that sends more doesn't mean to ask. */
     private static final int MOST_BAD = 4;
-    /** How long a connection may be without a whole request at its start, and how long one may take from
-     * its first byte to its last, or an answer to be read: no client waits so long for an answer. */
-    private static final long PATIENCE_NS = TimeUnit.MILLISECONDS.toNanos(2_000);
     /** How long a client may take to read the reason why its connection is closed. */
     private static final long LINGER_MS = 500;
     /** What is read and thrown away meanwhile: closed on unread bytes, the system would take the reason
@@ -127,7 +124,7 @@
     @Override
     public void closeIfOverdue(long nowNs) {
         if (ending || unwritten > 0) {
-            if (nowNs - answeredNs > PATIENCE_NS) {
+            if (nowNs - answeredNs > server.patienceNs()) {
                 close("answer not read");
             }
             return;
@@ -159,8 +156,8 @@
         if (held != null || !ahead.isEmpty() || !channel.isActive()) {
             return false;
         }
-        return decoder.isMidRequest() ? nowNs - (asked ? begunNs : openedNs) > PATIENCE_NS
-                : !asked && nowNs - openedNs > PATIENCE_NS;
+        return decoder.isMidRequest() ? nowNs - (asked ? begunNs : openedNs) > server.patienceNs()
+                : !asked && nowNs - openedNs > server.patienceNs();
     }
 
     @Override
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -12,6 +12,7 @@
 import vetchpost.core.ClientReply;
 import vetchpost.core.ClientRequest;
 import vetchpost.core.RequestLog;
+import vetchpost.decision.Balancer.RequestClass;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.net.Network;
 import vetchpost.net.Sockets;
@@ -29,6 +30,12 @@
     /** Marks requests of the rehearsal; its value is a token. */
     public static final String REHEARSAL = "X-Rehearsal";
 
+    /** How long a connection may be without a whole request at its start, and how long one may take from its
+     * first byte to its last, or an answer to be read: the longest that a client waits for an answer, by the
+     * settings, but no less than this ... */
+    private static final long LEAST_PATIENCE_US = 2_000_000;
+    /** ... and no more than the longest deadline of the protocol: half a request is not worth waiting for. */
+    private static final long MOST_PATIENCE_US = 3_000_000;
     /** How long an idle connection is kept once there are many: some clients ask once and never close, and
      * what the others may open is spent by that. */
     private static final long KEPT_NS = TimeUnit.MILLISECONDS.toNanos(2_100);
@@ -61,6 +68,7 @@
     private Acceptor acceptor;
     private LongSupplier behindUs = () -> 0;
     private final long comeBackUs;
+    private final long patienceNs;
     private long layNs;
     private long sweptNs;
     private boolean heldUp;
@@ -85,6 +93,9 @@
         this.sockets = sockets;
         reader = new RequestReader(settings);
         comeBackUs = settings.maxRetryAfterUs;
+        long longestUs = settings.classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+        patienceNs = TimeUnit.MICROSECONDS.toNanos(Math.min(MOST_PATIENCE_US,
+                Math.max(LEAST_PATIENCE_US, longestUs)));
         this.taker = taker;
         sockets.clientSide(this::closeOldestIdle, this::roomAgain);
     }
@@ -324,6 +335,11 @@
         return sockets.areClientsOver();
     }
 
+    /** How long a client may keep the node waiting, in nanoseconds. */
+    long patienceNs() {
+        return patienceNs;
+    }
+
     /** What those are told. */
     public long comeBackUs() {
         return comeBackUs;
--- a/src/test/java/vetchpost/http/ClientConnectionTest.java
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -152,6 +152,17 @@
         assertEquals(1, held.size());
     }
 
+    /** As long as the settings' clients wait for an answer, up to the protocol's 3 s: here they wait longer. */
+    @Test
+    void halfARequestIsWaitedForAsLongAsItsClientMayWait() {
+        channel.writeInbound(Unpooled.copiedBuffer("GET /view HTTP/1.1\r\n", StandardCharsets.ISO_8859_1));
+        ClientLine connection = (ClientLine) channel.pipeline().last();
+        connection.closeIfOverdue(server.nanos() + TimeUnit.MILLISECONDS.toNanos(2_800));
+        assertEquals("", written());
+        overdue();
+        assertTrue(written().startsWith("HTTP/1.1 408 "));
+    }
+
     @Test
     void whoIsSilentOrStopsHalfwayIsNotWaitedFor() {
         unread.add(Fixture.request("GET", "/view", 1, "", "").substring(0, 20));
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -175,6 +175,36 @@
         assertEquals(1, first.requests.size() + second.requests.size());
     }
 
+    /** Two zones that only the list names are two zones: what may have run in one is not sent to the other. */
+    @Test
+    void aKeyedRequestStaysInAZoneThatTheSettingsDoNotName() throws Exception {
+        FakePeer.Script failing = FakePeer.answer("500 Error", "", "");
+        first.script(failing);
+        second.script(failing);
+        JsonObject json = Fixture.config(discovery, first, second);
+        json.getAsJsonObject("settings").getAsJsonArray("classes").get(1).getAsJsonObject()
+                .addProperty("group", "zone");
+        JsonArray targets = json.getAsJsonObject("known").getAsJsonArray("targets");
+        targets.get(0).getAsJsonObject().addProperty("az", "x");
+        targets.get(1).getAsJsonObject().addProperty("az", "y");
+        JsonArray zones = new JsonArray();
+        zones.add("a");
+        json.getAsJsonObject("settings").add("zones", zones);
+        for (int i = 0; i < 6; i++) {
+            // A node of its own each time: what it learns of the one that failed would choose for it.
+            client = connect(start(json));
+            FakePeer.write(client, Fixture.request("POST", "/photo", i, "Idempotency-Key: k" + i + "\r\n", "x")
+                    .replace("X-Remaining-Ms: " + Fixture.REMAINING_MS, "X-Remaining-Ms: 600"));
+            int status = status(FakePeer.read(client));
+            assertTrue(status >= 500, "answered " + status);
+            assertTrue(first.requests.isEmpty() != second.requests.isEmpty(), "to " + first.requests.size()
+                    + " in one zone, " + second.requests.size() + " in the other");
+            first.requests.clear();
+            second.requests.clear();
+            client.close();
+        }
+    }
+
     @Test
     void aSafeRequestPassesOnAfterAnError() throws Exception {
         first.script(FakePeer.answer("500 No", "", ""));
