--- a/src/main/java/vetchpost/simulation/check/Checker.java
+++ b/src/main/java/vetchpost/simulation/check/Checker.java
@@ -26,6 +26,9 @@
  * bytes.
  */
 public final class Checker {
+    /** From so long after its client has left on nothing is to be sent for a request. */
+    private static final long LEFT_NS = 300_000_000;
+
     private final VirtualTime time;
     private final Limits limits;
     private final Consumer<Violation> violations;
@@ -40,6 +43,12 @@
     private int refused;
     private int attempts;
     private int repeats;
+    private int left;
+
+    /** How many requests were waiting for an answer when their client left. */
+    public int left() {
+        return left;
+    }
 
     /** A request that a node has taken, or may yet. */
     private static final class Request {
@@ -51,6 +60,8 @@
         /** Nothing is owed any more. */
         boolean over;
         boolean answered;
+        /** When the node's machine had its client's end, before an answer; 0 if it had not. */
+        long leftNs;
 
         Request(Expected expected) {
             this.expected = expected;
@@ -259,7 +270,11 @@
                 ClientSide side = clients.get(end);
                 if (side != null) {
                     side.clientGone = true;
-                    side.waiting.forEach(r -> r.over = true);
+                    side.waiting.forEach(r -> {
+                        left += r.leftNs == 0 && !r.answered ? 1 : 0;
+                        r.leftNs = r.leftNs == 0 ? time.nanoTime() : r.leftNs;
+                        r.over = true;
+                    });
                 }
             } else if (servers.get(end) != null && reset) {
                 servers.get(end).over();
@@ -310,6 +325,7 @@
             }
             // From a node that was killed, before it had read any of it.
             request.over = false;
+            request.leftNs = 0;
             usual = true;
             request.taken = true;
             request.node = node;
@@ -440,6 +456,10 @@
             if (request.answered && !node.dead) {
                 broken(Rule.LOST, sending + " after its end");
             }
+            if (request.leftNs > 0 && begunNs > request.leftNs + LEFT_NS) {
+                broken(Rule.LEFT, sending + " " + (begunNs - request.leftNs) / 1_000_000
+                        + " ms after its client had left");
+            }
             if (earlier != null) {
                 judgeRepeat(request, earlier, sending);
             }
--- a/src/main/java/vetchpost/simulation/check/Violation.java
+++ b/src/main/java/vetchpost/simulation/check/Violation.java
@@ -18,6 +18,8 @@
         DRAIN("drains are kept"),
         /** No more than a multiple of what a cold server can do. */
         COLD("a cold server is not pushed over"),
+        /** Nothing is sent on for a client that left a while ago. */
+        LEFT("who has left is not worked for"),
         /** Nothing is left when a node has stopped. */
         LEAK("nothing is left behind"),
         /** No exception ends in a log. */
--- a/src/test/java/vetchpost/simulation/HardCasesTest.java
+++ b/src/test/java/vetchpost/simulation/HardCasesTest.java
@@ -290,6 +290,35 @@
         }
     }
 
+    /** They wait in the module while the loop is held up; what lets them go lies before their end in the loop. */
+    @Test
+    void clientsThatLeaveWhileTheLoopIsHeldUp() {
+        int left = 0;
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Stage stage = new Stage(seed, 2, 1, false, 100);
+            List<Runnable> answers = new ArrayList<>();
+            stage.script((end, request) -> {
+                answers.add(() -> stage.serve(end, request));
+                return true;
+            });
+            List<Stage.Asker> askers = new ArrayList<>();
+            for (int i = 0; i < 40; i++) {
+                askers.add(i % 2 == 0 ? stage.view(5_000) : stage.order(5_000));
+            }
+            stage.runMs(20);
+            stage.node.stall(450 + (int) (seed * 10 % 400));
+            stage.runMs(1);
+            List.copyOf(answers).forEach(Runnable::run);
+            stage.runMs(seed % 7);
+            askers.forEach(Stage.Asker::leave);
+            stage.runMs(2_500);
+            left += stage.checker.left();
+            stage.end();
+            assertKept(stage, seed);
+        }
+        assertTrue(left > 10 * SEEDS, "cases: " + left);
+    }
+
     /** Whenever it falls silent between two of its lines, whatever time passes until the first change; and the
      * next call waits in turn. */
     @ParameterizedTest
