Hold by tests a box that falls silent after the whole request, and an hour of churn

In the simulation: each request's first box takes all of it in and says nothing for good, by class; and a box of six is replaced every ten seconds for an hour.

Nothing in the program had to be changed.

--- a/src/test/java/vetchpost/simulation/HardCasesTest.java
+++ b/src/test/java/vetchpost/simulation/HardCasesTest.java
@@ -343,6 +343,40 @@
         }
     }
 
+    /** The first box asked takes in the whole request, of whatever class, and says nothing for good. */
+    @Test
+    void aBoxFallenSilentAfterTheWholeRequest() {
+        for (long seed = 1; seed <= SEEDS; seed++) {
+            Stage stage = new Stage(seed, 4, 2, false);
+            stage.script((end, request) -> stage.asked.stream()
+                    .filter(r -> r.field("x-txn").equals(request.field("x-txn"))).count() == 1);
+            Stage.Asker order = stage.order(WAIT_MS);
+            Stage.Asker photo = stage.photo(WAIT_MS);
+            Stage.Asker view = stage.view(WAIT_MS);
+            stage.runMs(2 * WAIT_MS);
+            for (Stage.Asker asker : List.of(order, photo, view)) {
+                assertEquals(1, asker.answers.size(), "seed " + seed + ": one answer, by its deadline");
+            }
+            assertEquals(502, order.status(), "an order that may run has failed, and no more");
+            assertEquals(1, stage.asked.stream().filter(r -> r.start().contains("place-order")).count());
+            stage.end();
+            assertKept(stage, seed);
+        }
+    }
+
+    /** Every ten seconds a box is replaced: the rules hold for an hour, and nearly all is served. */
+    @Test
+    void anHourOfChurn() throws Exception {
+        List<String> lines = new ArrayList<>(List.of("seed 7", "nodes 1", "boxes 6", "racks 2", "rate 4",
+                "seconds 3600", "work 20", "slots 2"));
+        for (int i = 1; i < 360; i++) {
+            lines.add("at " + 10 * i + "s replace box " + i % 6 + " for 0." + (1 + i % 9) + "s");
+        }
+        Result result = script(lines.toArray(String[]::new));
+        assertTrue(result.isGood(), () -> String.valueOf(result.violation()));
+        assertTrue(result.served() > 0.95 * result.wants(), result.served() + " of " + result.wants());
+    }
+
     /** The new one is told of, and the end of the old one not: it must not be sent a warm box's share. */
     @Test
     void aBoxAtTheAddressOfOneThatWasNotTakenBack() {
