--- a/src/main/java/vetchpost/core/ClientReply.java
+++ b/src/main/java/vetchpost/core/ClientReply.java
@@ -31,8 +31,8 @@
     }
 
     /**
-     * Whether the client has left, as far as its system already tells, though nothing may have been told of it
-     * yet: a loop that was held up has not looked. Costs a system call.
+     * Whether the client has left, as far as its system already tells, though nothing may have been told of
+     * it yet: a loop that was held up has not looked. Costs a system call.
      */
     default boolean hasLeft() {
         return false;
--- a/src/main/java/vetchpost/http/ServerPool.java
+++ b/src/main/java/vetchpost/http/ServerPool.java
@@ -343,7 +343,7 @@
         servers.values().removeIf(s -> s.gone && s.waiting.isEmpty());
     }
 
-    /** The first byte would leave whenever a connection comes up, maybe past the grace of its drain or end. */
+    /** The first byte would leave whenever a connection comes up, maybe past the grace of its drain. */
     private static void endWaiting(Server server) {
         while (!server.waiting.isEmpty()) {
             server.waiting.poll().end(Result.CONNECT_FAILED, null);
--- a/src/test/java/vetchpost/http/ClientConnectionTest.java
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -152,7 +152,7 @@
         assertEquals(1, held.size());
     }
 
-    /** As long as the settings' clients wait for an answer, up to the protocol's 3 s: here they wait longer. */
+    /** As long as the settings' clients wait for an answer, up to the protocol's 3 s: here for longer. */
     @Test
     void halfARequestIsWaitedForAsLongAsItsClientMayWait() {
         channel.writeInbound(Unpooled.copiedBuffer("GET /view HTTP/1.1\r\n", StandardCharsets.ISO_8859_1));
--- a/src/test/java/vetchpost/http/ServerPoolTest.java
+++ b/src/test/java/vetchpost/http/ServerPoolTest.java
@@ -313,9 +313,9 @@
         ServerPool pool = pool(server.address(), IDLE_US);
         Probe probe = new Probe(10);
         boolean named = !state.equals("left out");
-        ServerList list = ServerListParser.parse("{\"rev\":2,\"all\":" + !named + ",\"targets\":[" + (named
-                ? "{\"uid\":\"s\",\"endpoint\":\"" + server.address() + "\",\"state\":\"" + state + "\"}" : "")
-                + "]}");
+        String entry = "{\"uid\":\"s\",\"endpoint\":\"" + server.address() + "\",\"state\":\"" + state + "\"}";
+        ServerList list = ServerListParser.parse("{\"rev\":2,\"all\":" + !named + ",\"targets\":["
+                + (named ? entry : "") + "]}");
         loop.submit(() -> {
             pool.start("s", probe);
             pool.update(list);
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -175,7 +175,7 @@
         assertEquals(1, first.requests.size() + second.requests.size());
     }
 
-    /** Two zones that only the list names are two zones: what may have run in one is not sent to the other. */
+    /** Two zones that only the list names are two zones: what may have run in one does not go to the other. */
     @Test
     void aKeyedRequestStaysInAZoneThatTheSettingsDoNotName() throws Exception {
         FakePeer.Script failing = FakePeer.answer("500 Error", "", "");
@@ -193,7 +193,8 @@
         for (int i = 0; i < 6; i++) {
             // A node of its own each time: what it learns of the one that failed would choose for it.
             client = connect(start(json));
-            FakePeer.write(client, Fixture.request("POST", "/photo", i, "Idempotency-Key: k" + i + "\r\n", "x")
+            String key = "Idempotency-Key: k" + i + "\r\n";
+            FakePeer.write(client, Fixture.request("POST", "/photo", i, key, "x")
                     .replace("X-Remaining-Ms: " + Fixture.REMAINING_MS, "X-Remaining-Ms: 600"));
             int status = status(FakePeer.read(client));
             assertTrue(status >= 500, "answered " + status);
--- a/src/test/java/vetchpost/node/WatchRacesTest.java
+++ b/src/test/java/vetchpost/node/WatchRacesTest.java
@@ -100,7 +100,7 @@
         assertTrue(drained.requests.isEmpty(), "sent to what it had been told of");
     }
 
-    /** What the agent has counts as told from the process's first moment: nobody may come before it is known. */
+    /** What the agent has counts as told from the first moment: nobody may come before it is known. */
     @ParameterizedTest
     @ValueSource(booleans = {false, true})
     void aPushedListIsTakenInBeforeAnybodyCanConnect(boolean late) throws Exception {
--- a/src/test/java/vetchpost/simulation/HardCasesTest.java
+++ b/src/test/java/vetchpost/simulation/HardCasesTest.java
@@ -290,7 +290,7 @@
         }
     }
 
-    /** They wait in the module while the loop is held up; what lets them go lies before their end in the loop. */
+    /** They wait in the module while the loop is held up; what lets them go comes before their end. */
     @Test
     void clientsThatLeaveWhileTheLoopIsHeldUp() {
         int left = 0;
@@ -319,8 +319,8 @@
         assertTrue(left > 10 * SEEDS, "cases: " + left);
     }
 
-    /** Whenever it falls silent between two of its lines, whatever time passes until the first change; and the
-     * next call waits in turn. */
+    /** Whenever it falls silent between two of its lines, whatever time passes until the first change; and
+     * the next call waits in turn. */
     @ParameterizedTest
     @ValueSource(booleans = {true, false})
     void aWatchFallenSilentJustBeforeADrain(boolean pushed) {
