--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -114,9 +114,9 @@
         clock = new LoopClock(loop, unixMs);
         stall = new Stall(clock);
         sockets = new Sockets(config.sockets());
+        long callMs = config.settings().listOnRequest ? Discovery.CALL_MS : Discovery.SILENT_MS;
         discovery = new Discovery(loop, network, config.discovery(), config.known().revision(),
-                Discovery.SILENT_MS,
-                config.settings().listOnRequest ? Discovery.CALL_MS : Discovery.SILENT_MS, config.seed(), this);
+                Discovery.SILENT_MS, callMs, config.seed(), this);
         this.seams = seams;
         watchAgainNs = TimeUnit.MILLISECONDS.toNanos(Math.max(1, Math.min(WATCH_AGAIN_MS,
                 config.settings().drainGraceUs / 1_000 / WATCH_AGAIN_PART)));
--- a/src/test/java/vetchpost/http/ServerPoolTest.java
+++ b/src/test/java/vetchpost/http/ServerPoolTest.java
@@ -313,7 +313,8 @@
         ServerPool pool = pool(server.address(), IDLE_US);
         Probe probe = new Probe(10);
         boolean named = !state.equals("left out");
-        String entry = "{\"uid\":\"s\",\"endpoint\":\"" + server.address() + "\",\"state\":\"" + state + "\"}";
+        String entry = "{\"uid\":\"s\",\"endpoint\":\"" + server.address() + "\",\"state\":\"" + state
+                + "\"}";
         ServerList list = ServerListParser.parse("{\"rev\":2,\"all\":" + !named + ",\"targets\":["
                 + (named ? entry : "") + "]}");
         loop.submit(() -> {
--- a/src/test/java/vetchpost/node/NodeTest.java
+++ b/src/test/java/vetchpost/node/NodeTest.java
@@ -175,7 +175,7 @@
         assertEquals(1, first.requests.size() + second.requests.size());
     }
 
-    /** Two zones that only the list names are two zones: what may have run in one does not go to the other. */
+    /** Two zones that only the list names are two: what may have run in one does not go to the other. */
     @Test
     void aKeyedRequestStaysInAZoneThatTheSettingsDoNotName() throws Exception {
         FakePeer.Script failing = FakePeer.answer("500 Error", "", "");
