Fail simulate where a run throws, and give nodes past 250 addresses

A run that throws now counts as failed, is named with its seed and place, and fails the command; fleet and crowd name the seed too. Machines have addresses 10.0.0.1 to 10.0.249.250 (the first 250 as before).

Both tests failed without the change; 400 nodes play one seed in it.

--- a/src/main/java/vetchpost/simulation/Remembering.java
+++ b/src/main/java/vetchpost/simulation/Remembering.java
@@ -79,7 +79,7 @@
     }
 
     private static InetSocketAddress address(int number) {
-        return new InetSocketAddress("10.0.0." + (number + 1), PORT);
+        return new InetSocketAddress(NodeProcess.addressOf(number).getAddress(), PORT);
     }
 
     /** Whether this start of a node's asks the others. */
--- a/src/main/java/vetchpost/simulation/SeedRuns.java
+++ b/src/main/java/vetchpost/simulation/SeedRuns.java
@@ -22,6 +22,7 @@
     private final int jobs;
     private final LongFunction<Result> run;
     private final Map<Long, Result> failed = new TreeMap<>();
+    private final Map<Long, Throwable> thrown = new TreeMap<>();
     private final Map<Fault.Kind, Long> faults = new EnumMap<>(Fault.Kind.class);
     private long done;
     private long simulatedNs;
@@ -47,7 +48,7 @@
         for (int i = 0; i < jobs; i++) {
             Thread thread = new Thread(() -> {
                 for (long seed = next.getAndIncrement(); seed <= to; seed = next.getAndIncrement()) {
-                    add(run.apply(seed), progress);
+                    play(seed, progress);
                 }
             }, "simulate-" + i);
             thread.setDaemon(true);
@@ -59,6 +60,24 @@
         }
     }
 
+    /** A run that throws has shown nothing, and counts as failed. */
+    private void play(long seed, Progress progress) {
+        Result result;
+        try {
+            result = run.apply(seed);
+        } catch (RuntimeException | Error e) {
+            threw(seed, e, progress);
+            return;
+        }
+        add(result, progress);
+    }
+
+    private synchronized void threw(long seed, Throwable fault, Progress progress) {
+        done++;
+        thrown.put(seed, fault);
+        progress.done(done, to - from + 1, failed.size() + thrown.size());
+    }
+
     private synchronized void add(Result result, Progress progress) {
         done++;
         simulatedNs += result.simulatedNs();
@@ -74,7 +93,17 @@
         if (!result.isGood()) {
             failed.put(result.seed(), result);
         }
-        progress.done(done, to - from + 1, failed.size());
+        progress.done(done, to - from + 1, failed.size() + thrown.size());
+    }
+
+    /** What was thrown by runs that did not come to their end, by their seeds. */
+    Map<Long, Throwable> thrown() {
+        return thrown;
+    }
+
+    /** Whether every run came to its end with no rule broken. */
+    boolean areGood() {
+        return failed.isEmpty() && thrown.isEmpty();
     }
 
     /** The failing ones, by their seeds. */
@@ -91,7 +120,7 @@
         long all = faults.values().stream().mapToLong(Long::longValue).sum();
         return String.format(Locale.ROOT, "%d seeds, %d failed, %.2f simulated hours, %d requests "
                 + "(%d of %d wants served, %d refusals), %d attempts (%d repeats), %d faults (%s), "
-                + "digest %016x", done, failed.size(), simulatedSeconds() / 3_600, tried, served, wants,
+                + "digest %016x", done, failed.size() + thrown.size(), simulatedSeconds() / 3_600, tried, served, wants,
                 refused, attempts, repeats, all,
                 faults.entrySet().stream().map(e -> e.getValue() + " " + e.getKey().words())
                         .collect(Collectors.joining(", ")), digest);
--- a/src/main/java/vetchpost/simulation/SimulateCommand.java
+++ b/src/main/java/vetchpost/simulation/SimulateCommand.java
@@ -203,10 +203,12 @@
         for (Map.Entry<Long, Result> each : runs.failed().entrySet()) {
             out.println(verdict(each.getValue()));
         }
+        runs.thrown().forEach((n, fault) -> out.println("seed " + n + ": the run threw " + fault + ", at "
+                + (fault.getStackTrace().length == 0 ? "a place not known" : fault.getStackTrace()[0])));
         out.println(runs.summary());
         out.printf(Locale.ROOT, "%.1f s on %d threads, %.0f simulated s a second and thread%n", wall, jobs,
                 runs.simulatedSeconds() / wall / jobs);
         out.flush();
-        return runs.failed().isEmpty() ? 0 : 1;
+        return runs.areGood() ? 0 : 1;
     }
 }
--- a/src/main/java/vetchpost/simulation/crowd/CrowdCommand.java
+++ b/src/main/java/vetchpost/simulation/crowd/CrowdCommand.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.Callable;
 import java.util.stream.IntStream;
 
+import vetchpost.simulation.SeedFault;
 import vetchpost.simulation.crowd.Crowd.Plan;
 import vetchpost.simulation.crowd.Crowd.Policy;
 import picocli.CommandLine.Command;
@@ -100,7 +101,8 @@
     }
 
     private List<CrowdResult> play(List<Plan> plans) {
-        return plans.parallelStream().map(Crowd::run).toList();
+        return plans.parallelStream().map(plan -> SeedFault.naming(plan.seed(), () -> Crowd.run(plan)))
+                .toList();
     }
 
     private List<Plan> plans(Policy policy) {
--- a/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
+++ b/src/main/java/vetchpost/simulation/fleet/FleetCommand.java
@@ -11,6 +11,7 @@
 import java.util.logging.Logger;
 import java.util.stream.LongStream;
 
+import vetchpost.simulation.SeedFault;
 import vetchpost.simulation.fleet.FleetRun.Outcome;
 import vetchpost.simulation.fleet.FleetRun.Watch;
 import picocli.CommandLine.Command;
@@ -69,7 +70,8 @@
         List<String> broken = new ArrayList<>();
         for (Watch watch : Watch.values()) {
             List<Outcome> outcomes = LongStream.rangeClosed(1, seeds).parallel()
-                    .mapToObj(seed -> FleetRun.play(seed, watch, operators)).toList();
+                    .mapToObj(seed -> SeedFault.naming(seed, () -> FleetRun.play(seed, watch, operators)))
+                    .toList();
             for (int i = 0; i < outcomes.size(); i++) {
                 for (String each : outcomes.get(i).broken()) {
                     broken.add("seed " + (i + 1) + ", " + watch.name().toLowerCase(Locale.ROOT) + ": "
--- a/src/main/java/vetchpost/simulation/world/NodeProcess.java
+++ b/src/main/java/vetchpost/simulation/world/NodeProcess.java
@@ -85,6 +85,9 @@
             long nowMs,
             long seed) { }
 
+    private static final int PORT = 8443;
+    /** Machines whose addresses have the same third byte. */
+    private static final int IN_SUBNET = 250;
     private final World world;
     private final Clients clients;
     private final Directory directory;
@@ -200,7 +203,12 @@
         this.pushed = pushed;
         this.nodes = nodes;
         this.number = number;
-        address = new InetSocketAddress("10.0.0." + (number + 1), 8443);
+        address = addressOf(number);
+    }
+
+    /** Where a machine listens; there is room for 62,500 of them. */
+    public static InetSocketAddress addressOf(int number) {
+        return new InetSocketAddress("10.0." + number / IN_SUBNET + "." + (number % IN_SUBNET + 1), PORT);
     }
 
     private String name() {
--- a/src/test/java/vetchpost/simulation/SimulateCommandTest.java
+++ b/src/test/java/vetchpost/simulation/SimulateCommandTest.java
@@ -1,6 +1,7 @@
 package vetchpost.simulation;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -8,8 +9,11 @@
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -19,6 +23,7 @@
 import picocli.CommandLine;
 
 import vetchpost.simulation.check.Violation.Rule;
+import vetchpost.simulation.world.NodeProcess;
 
 /** The command line, scripts, and the making smaller of what fails. */
 @Timeout(300)
@@ -51,6 +56,40 @@
         assertTrue(err.toString().contains("2 of 2 seeds"), err.toString());
     }
 
+    /** A run that threw has shown nothing; it was counted as good. */
+    @Test
+    void aRunThatThrowsFailsTheCommandAndIsNamed() throws Exception {
+        Result good = Simulation.run(Plan.of(1));
+        SeedRuns runs = new SeedRuns(1, 3, 1, seed -> {
+            if (seed == 2) {
+                throw new IllegalStateException("planted");
+            }
+            return good;
+        });
+        List<Long> failed = new ArrayList<>();
+        runs.run((done, of, failing) -> failed.add(done * 10 + failing));
+        assertEquals(List.of(10L, 21L, 31L), failed);
+        assertFalse(runs.areGood());
+        assertEquals(Set.of(2L), runs.thrown().keySet());
+        assertTrue(runs.summary().startsWith("3 seeds, 1 failed, "), runs.summary());
+        SeedFault fault = assertThrows(SeedFault.class, () -> SeedFault.naming(7, () -> {
+            throw new IllegalStateException("planted");
+        }));
+        assertTrue(fault.getMessage().startsWith("seed 7: "), fault.getMessage());
+    }
+
+    /** Beyond 250 there were no addresses, and beyond that no runs. */
+    @Test
+    void hundredsOfNodesHaveAddressesOfTheirOwn() {
+        Set<Object> addresses = new HashSet<>();
+        for (int i = 0; i < 2_048; i++) {
+            assertFalse(NodeProcess.addressOf(i).isUnresolved());
+            assertTrue(addresses.add(NodeProcess.addressOf(i)), "node " + i + " has another's address");
+        }
+        assertEquals(0, run("--nodes", "400", "--seeds", "1..1"), out::toString);
+        assertTrue(out.toString().startsWith("1 seeds, 0 failed, "), out.toString());
+    }
+
     @Test
     void oneSeedTellsItsDigestAndKeepsItsTrace() throws Exception {
         Path trace = folder.resolve("trace.txt");
