Say that SIGHUP is ignored, reload by ctl, and bound every wait of the tests

A process started with SIGHUP ignored (nohup, some supervisors) can't take it: the runtime leaves such a signal ignored and hands back the old handler, which was not looked at. Now it is: one warning at the start, a remark in /ready and in ctl status, and ctl reload reads the file again in any case, and tells what keeps it from it.

MainTest waited in a read that heeds no interrupt. ReloadTest connected before the new address was bound: the reload now tells when all of it holds, and the test waits for that; ports that were free a moment ago are no longer taken on trust there and in MainTest.

--- a/src/main/java/vetchpost/control/Desk.java
+++ b/src/main/java/vetchpost/control/Desk.java
@@ -37,7 +37,7 @@
     private static final Map<String, Set<String>> FIELDS = Map.of("status", Set.of(), "servers", Set.of(),
             "overrides", Set.of(), "undo", Set.of("number", "owner"), "drain", changing("server"),
             "weight", changing("server", "share"), "shed", changing("class", "share"), "freeze", changing(),
-            "explain", Set.of("txn", "server", "refused", "last"));
+            "explain", Set.of("txn", "server", "refused", "last"), "reload", Set.of());
     private static final long MOST_SPAN_MS = 3_600_000;
 
     private final Gson gson = new GsonBuilder().setStrictness(Strictness.STRICT).create();
@@ -49,6 +49,8 @@
     private final Deque<Runnable> waiting = new ArrayDeque<>();
     private boolean busy;
     private Explanations explanations;
+    private Consumer<Consumer<String>> reload;
+    private String remark;
 
     /** Where entries are kept. */
     public interface Record {
@@ -79,6 +81,19 @@
         explanations = by;
     }
 
+    /**
+     * Has it read the operator's file again by this, which hears null, or why nothing was changed; later, on
+     * the loop.
+     */
+    public void reloads(Consumer<Consumer<String>> by) {
+        reload = by;
+    }
+
+    /** Has its status say this besides; null for nothing. */
+    public void remark(String line) {
+        remark = line;
+    }
+
     private static Set<String> changing(String... own) {
         Set<String> all = new HashSet<>(Set.of("for", "owner", "reason", "priority", "key", "anyway", "dry"));
         all.addAll(List.of(own));
@@ -130,6 +145,7 @@
             case "servers" -> reply.accept(servers(asked));
             case "overrides" -> reply.accept(overrides(asked, now.get()));
             case "explain" -> reply.accept(explain(asked, now.get()));
+            case "reload" -> reload(asked, reply);
             case "undo" -> {
                 long number = whole(asked, "number", -1, 1, Long.MAX_VALUE);
                 String owner = text(asked, "owner", null);
@@ -309,9 +325,21 @@
         json.addProperty("overrides", leases.all().size());
         json.addProperty("frozen", leases.effects().isFrozen());
         counts.get().forEach(json::addProperty);
+        if (remark != null) {
+            json.addProperty("remark", remark);
+        }
         return json.toString();
     }
 
+    private void reload(JsonObject asked, Consumer<String> reply) {
+        if (reload == null) {
+            reply.accept(refusal(asked, "refused", List.of("there is no file that could be read again")));
+            return;
+        }
+        reload.accept(why -> reply.accept(why == null ? answer(asked).toString()
+                : refusal(asked, "refused", why.lines().toList())));
+    }
+
     private String explain(JsonObject asked, Now now) {
         if (explanations == null) {
             return refusal(asked, "refused", List.of("nothing is recorded: keep = 0 in [control]"));
--- a/src/main/java/vetchpost/daemon/ControlLoader.java
+++ b/src/main/java/vetchpost/daemon/ControlLoader.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import vetchpost.conductor.Conductor;
@@ -110,6 +111,12 @@
         desk.explanations(new Explanations(recorder, node::standing, this::situation, this::effects));
     }
 
+    /** Has the file be read again by {@code ctl} too, and {@code ctl status} say this; null for nothing. */
+    void operated(Consumer<Consumer<String>> reload, String remark) {
+        desk.reloads(reload);
+        desk.remark(remark);
+    }
+
     /** Opens the socket; a node goes on without it where that fails. */
     void open(EventLoopGroup group) {
         try {
--- a/src/main/java/vetchpost/daemon/CtlCommand.java
+++ b/src/main/java/vetchpost/daemon/CtlCommand.java
@@ -82,6 +82,12 @@
         return ask(message("overrides"));
     }
 
+    @Command(name = "reload", description = {"Has nodes read their file again, as SIGHUP does; tells what",
+        "keeps one from it."})
+    int reload() {
+        return ask(message("reload"));
+    }
+
     /** What all changes have. */
     static final class Lease {
         @Option(names = "--for", required = true, paramLabel = "TIME",
--- a/src/main/java/vetchpost/daemon/Hangup.java
+++ b/src/main/java/vetchpost/daemon/Hangup.java
@@ -10,8 +10,13 @@
 final class Hangup {
     private Hangup() { }
 
-    /** Runs the action, on a thread of its own, at each SIGHUP, which no longer ends the program. */
-    static void handle(Runnable action) {
+    /**
+     * Runs the action, on a thread of its own, at each SIGHUP, which no longer ends the program.
+     *
+     * @return false if the process was started with the signal ignored, as {@code nohup} and some supervisors
+     * do: the runtime leaves it ignored, and the action never runs
+     */
+    static boolean handle(Runnable action) {
         InvocationHandler handler = (proxy, method, args) -> switch (method.getName()) {
             case "handle" -> {
                 action.run();
@@ -24,9 +29,10 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> receiver = Class.forName("sun.misc.SignalHandler");
-            signal.getMethod("handle", signal, receiver).invoke(null,
+            Object before = signal.getMethod("handle", signal, receiver).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"),
                     Proxy.newProxyInstance(receiver.getClassLoader(), new Class<?>[] {receiver}, handler));
+            return !receiver.getField("SIG_IGN").get(null).equals(before);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             throw new IllegalStateException("SIGHUP can't be handled", e);
         }
--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -20,6 +20,8 @@
     private static final Logger LOG = System.getLogger(Main.class.getName());
 
     static final String UNCHANGED = "the configuration stays as it was: {0}";
+    /** The process was started with the signal ignored. */
+    static final String DEAF = "SIGHUP is ignored since the start, as by nohup: it reloads nothing";
     /** A bad configuration. */
     static final int BAD_CONFIG = 2;
     /** Past any wait for an answer. All that is in hand ends by its own time, and what ends the process with
@@ -72,14 +74,22 @@
         Map<String, String> environment = System.getenv();
         Node[] node = new Node[1];
         // First of all: unhandled, the signal ends the program. The loop reads the file after the start.
-        Hangup.handle(() -> {
+        boolean heard = Hangup.handle(() -> {
             if (routes == null) {
                 loop.execute(() -> reload(node[0], environment));
             } else {
                 reload(node, environment, routes, loop);
             }
         });
-        loop.execute(() -> node[0] = start(environment, group, loop, routes));
+        loop.execute(() -> {
+            if (!heard) {
+                LOG.log(Level.WARNING, DEAF);
+            }
+            node[0] = start(environment, group, loop, routes);
+            if (!heard && node[0] != null) {
+                node[0].remark(DEAF);
+            }
+        });
     }
 
     private static Node start(Map<String, String> environment, EventLoopGroup group, EventLoop loop,
--- a/src/main/java/vetchpost/daemon/StandaloneMain.java
+++ b/src/main/java/vetchpost/daemon/StandaloneMain.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
+import java.util.function.Consumer;
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -37,7 +38,12 @@
             return;
         }
         // On the signal's own thread: many routes take longer to read than the loop may stand.
-        Hangup.handle(() -> reload(node, file, loop));
+        boolean heard = Hangup.handle(() -> reload(node, file, loop, told -> { }));
+        if (!heard) {
+            LOG.log(Level.WARNING, Main.DEAF);
+            node.node().remark(Main.DEAF);
+        }
+        node.operated(heard, told -> reloadAside(node, file, loop, told));
         Runtime.getRuntime().addShutdownHook(new Thread(() -> Main.stop(node.node(), loop), "stop"));
         node.start(Main.REHEARSED, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
@@ -46,18 +52,32 @@
         });
     }
 
-    private static synchronized void reload(StandaloneNode node, Path file, EventLoop loop) {
+    /** Reads the file on the thread that calls, and has it hold; tells null, or why nothing was changed. */
+    private static synchronized void reload(StandaloneNode node, Path file, EventLoop loop,
+            Consumer<String> told) {
         try {
             StandaloneNode.Loaded fresh = StandaloneNode.load(file);
             loop.execute(() -> {
                 try {
-                    node.reload(fresh);
+                    node.reload(fresh).addListener(done -> told.accept(null));
                 } catch (RuntimeException e) {
-                    LOG.log(Level.WARNING, Main.UNCHANGED, e.getMessage());
+                    unchanged(e, told);
                 }
             });
         } catch (RuntimeException e) {
-            LOG.log(Level.WARNING, Main.UNCHANGED, e.getMessage());
+            loop.execute(() -> unchanged(e, told));
         }
     }
+
+    private static void unchanged(RuntimeException why, Consumer<String> told) {
+        LOG.log(Level.WARNING, Main.UNCHANGED, why.getMessage());
+        told.accept(why.getMessage());
+    }
+
+    /** The same by a thread of its own, for whoever must not wait. */
+    private static void reloadAside(StandaloneNode node, Path file, EventLoop loop, Consumer<String> told) {
+        Thread reading = new Thread(() -> reload(node, file, loop, told), "reload");
+        reading.setDaemon(true);
+        reading.start();
+    }
 }
--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -3,11 +3,13 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
+import java.net.SocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import vetchpost.admission.AdmissionProver;
@@ -37,6 +39,8 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
+import io.netty.util.concurrent.Future;
+import io.netty.util.concurrent.Promise;
 
 /** A node that one operator's file makes, without a platform: its start, and what a reload changes. */
 final class StandaloneNode {
@@ -51,6 +55,7 @@
     private final ControlLoader control;
     private final long seed;
     private Loaded loaded;
+    private SocketAddress listening;
 
     /** What a file comes to, all of it proved. */
     record Loaded(Standalone node, Proof routes, RecoverySettings recovery, AdmissionSettings admission,
@@ -136,6 +141,18 @@
         return node;
     }
 
+    /**
+     * Has the file be read again by {@code ctl} too.
+     *
+     * @param heard whether SIGHUP comes through
+     * @param reload reads it and tells null, or why nothing was changed, on the loop
+     */
+    void operated(boolean heard, Consumer<Consumer<String>> reload) {
+        if (control != null) {
+            control.operated(reload, heard ? null : Main.DEAF);
+        }
+    }
+
     /** Opens the client side, and asks the sources from then on. */
     ChannelFuture start(int rehearsed, Runnable whenReady) {
         if (control != null) {
@@ -144,6 +161,7 @@
         ChannelFuture binding = node.start(group, rehearsed, whenReady);
         binding.addListener(done -> {
             if (done.isSuccess()) {
+                listening = binding.channel().localAddress();
                 conductor.begin(node::onList);
             }
         });
@@ -154,8 +172,11 @@
      * Takes up what a file says now: routes, limits, the door, tenants, classes, sources, where it listens.
      * Requests in hand end as they began. Checks, what is kept and handed over, sockets, the part of a fleet
      * and the rules of merging stay as they were at the start. On the loop.
+     *
+     * @return done once all of it holds, with where it listens; an address that can't be had leaves the one
+     * before
      */
-    void reload(Loaded fresh) {
+    Future<SocketAddress> reload(Loaded fresh) {
         Standalone now = fresh.node();
         Renewal renewal = Renewal.of(loaded.node(), now);
         if (renewal.core()) {
@@ -168,12 +189,23 @@
         front.settle(now.settings(), now.classifier(), now.limits());
         policy(fresh, false);
         conductor.renew(now);
+        Promise<SocketAddress> inForce = loop.newPromise();
         if (renewal.address()) {
-            node.listenAt(group, now.listen()).addListener(done -> LOG.log(Level.INFO, done.isSuccess()
-                    ? "listening on {0}" : "can''t listen on {0}, and goes on where it did", now.listen()));
+            ChannelFuture binding = node.listenAt(group, now.listen());
+            binding.addListener(done -> {
+                if (done.isSuccess()) {
+                    listening = binding.channel().localAddress();
+                }
+                LOG.log(Level.INFO, done.isSuccess() ? "listening on {0}"
+                        : "can''t listen on {0}, and goes on where it did", now.listen());
+                inForce.setSuccess(listening);
+            });
+        } else {
+            inForce.setSuccess(listening);
         }
         loaded = fresh;
         LOG.log(Level.INFO, "the file has been read again");
+        return inForce;
     }
 
     void close() {
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -74,6 +74,7 @@
     private boolean heldUp;
     private String rehearsal;
     private Supplier<String> serving;
+    private String remark;
     private boolean ready;
     private long numbered;
     private boolean draining;
@@ -176,8 +177,14 @@
         serving = by;
     }
 
+    /** Has {@code /ready} say this besides; null for nothing. */
+    public void remark(String line) {
+        remark = line;
+    }
+
     String readyText() {
-        return serving == null ? "ready" : "ready: " + serving.get();
+        String text = serving == null ? "ready" : "ready: " + serving.get();
+        return remark == null ? text : text + "; " + remark;
     }
 
     /** Every answer from here on closes its connection; new connections are still taken. */
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -362,6 +362,11 @@
         return dispatcher.standing(serverId);
     }
 
+    /** Has {@code /ready} say this besides what else it says; null for nothing. */
+    public void remark(String line) {
+        clients.remark(line);
+    }
+
     /** Has this go along with the node's life; before it starts. */
     public void companion(Companion with) {
         companion = with;
--- a/src/test/java/vetchpost/daemon/Alone.java
+++ b/src/test/java/vetchpost/daemon/Alone.java
@@ -5,6 +5,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -19,6 +20,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.Future;
 
 /** A node by one file, on a port of its own, and clients of it that write bytes as they please. */
 final class Alone implements AutoCloseable {
@@ -32,7 +34,7 @@
 
     /** By a file of this text behind its table {@code [node]}, which says where to listen. */
     Alone(String text) throws Exception {
-        StandaloneNode.Loaded loaded = StandaloneNode.load(file(0, text));
+        StandaloneNode.Loaded loaded = StandaloneNode.load(file("127.0.0.1:0", text));
         node = on(() -> new StandaloneNode(loaded, group, loop));
         listening = on(() -> node.start(0, () -> { })).sync().channel();
     }
@@ -49,22 +51,28 @@
     }
 
     /** A text may begin with keys of the table {@code [node]}. */
-    private static Path file(int port, String text) throws IOException {
+    private static Path file(String listen, String text) throws IOException {
         Path file = Files.createTempFile("alone", ".toml");
         file.toFile().deleteOnExit();
-        return Files.writeString(file, "[node]\nlisten = \"127.0.0.1:" + port + "\"\nseed = \"1\"\n" + text);
+        return Files.writeString(file, "[node]\nlisten = \"" + listen + "\"\nseed = \"1\"\n" + text);
     }
 
     <T> T on(Callable<T> task) throws Exception {
         return loop.submit(task).get(PATIENCE_MS, TimeUnit.MILLISECONDS);
     }
 
-    void reload(int port, String text) throws Exception {
-        StandaloneNode.Loaded loaded = StandaloneNode.load(file(port, text));
-        on(() -> {
-            node.reload(loaded);
-            return null;
-        });
+    /** Reads another file, and waits until all of it holds; where the node listens from then on. */
+    InetSocketAddress reload(String listen, String text) throws Exception {
+        StandaloneNode.Loaded loaded = StandaloneNode.load(file(listen, text));
+        Future<SocketAddress> inForce = on(() -> node.reload(loaded));
+        InetSocketAddress address = (InetSocketAddress) inForce.get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        // The system closes a socket once the loop has looked at its selector again.
+        loop.schedule(() -> null, 1, TimeUnit.MILLISECONDS).get(PATIENCE_MS, TimeUnit.MILLISECONDS);
+        return address;
+    }
+
+    InetSocketAddress reload(String text) throws Exception {
+        return reload("127.0.0.1:0", text);
     }
 
     Node.InHand inHand() throws Exception {
@@ -80,7 +88,11 @@
     }
 
     static Socket connect(int port) throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
+        return connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
+    static Socket connect(InetSocketAddress to) throws IOException {
+        Socket socket = new Socket(to.getAddress(), to.getPort());
         socket.setSoTimeout(PATIENCE_MS);
         socket.setTcpNoDelay(true);
         return socket;
--- a/src/test/java/vetchpost/daemon/ControlWaveTest.java
+++ b/src/test/java/vetchpost/daemon/ControlWaveTest.java
@@ -155,9 +155,9 @@
         Alone node = new Alone(Alone.pool(well, sick) + more);
         nodes.add(node);
         assertEquals(0, ctl(1, "drain", sick.address(), "--for", "10m", "--reason", "sick"), said);
-        node.reload(node.port(), Alone.pool(well) + more);
+        node.reload(Alone.pool(well) + more);
         assertEquals(0, ctl(1, "explain", "--why-not", sick.address()), said);
-        node.reload(node.port(), Alone.pool(well, sick) + more);
+        node.reload(Alone.pool(well, sick) + more);
         for (int i = 0; i < 10; i++) {
             assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("well"), "it is sent to");
         }
--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -7,10 +7,10 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.io.PrintWriter;
+import java.io.StringWriter;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Arrays;
@@ -21,12 +21,14 @@
 
 import vetchpost.testing.FakePeer;
 import vetchpost.testing.Fixture;
+import vetchpost.testing.Output;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import picocli.CommandLine;
 
 /** The program as a process of its own: its start, its end, and few descriptors. */
 @Timeout(120)
@@ -34,6 +36,7 @@
     private FakePeer discovery;
     private FakePeer server;
     private Process process;
+    private Output output;
     private int port;
     private String arguments = "";
     private String heap = "64m";
@@ -43,22 +46,19 @@
     void open() throws Exception {
         discovery = new FakePeer(FakePeer.SILENT);
         server = new FakePeer(FakePeer.answer("200 OK", "", "done"));
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            port = free.getLocalPort();
-        }
     }
 
     @AfterEach
     void close() throws Exception {
         if (process != null) {
-            process.destroyForcibly().waitFor();
+            assertTrue(process.destroyForcibly().waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS));
         }
         discovery.close();
         server.close();
     }
 
     private Path start(JsonObject config, String before) throws Exception {
-        config.addProperty("listen", "127.0.0.1:" + port);
+        config.addProperty("listen", "127.0.0.1:0");
         Path file = Fixture.write(config);
         run(file.toString(), before);
         await("/ready");
@@ -84,14 +84,17 @@
             builder.environment().put("LB_CONFIG", config);
         }
         process = builder.redirectErrorStream(true).start();
+        output = new Output(process.getInputStream());
+        port = 0;
     }
 
     private String said() {
         // Not by the process itself, which would close what it has written so far.
         process.toHandle().destroyForcibly();
         try {
-            return new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-        } catch (IOException e) {
+            return output.whole();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
             return e.toString();
         }
     }
@@ -103,6 +106,10 @@
     }
 
     private void await(String path) throws Exception {
+        if (port == 0) {
+            // The system's choice: a port that was free a moment ago may be somebody's by now.
+            port = Integer.parseInt(output.restOfLine("listening on /127.0.0.1:"));
+        }
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
         String answer = "";
         while (answer == null || !answer.startsWith("HTTP/1.1 200")) {
@@ -206,16 +213,8 @@
         assertEquals(0, new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor());
     }
 
-    private void awaitLine(String part) throws IOException {
-        StringBuilder line = new StringBuilder();
-        while (line.indexOf(part) < 0) {
-            int next = process.getInputStream().read();
-            assertTrue(next >= 0, "the program has ended");
-            line.append((char) next);
-            if (next == '\n') {
-                line.setLength(0);
-            }
-        }
+    private void awaitLine(String part) throws InterruptedException {
+        output.await(part);
     }
 
     @Test
@@ -304,7 +303,7 @@
         arguments = " serve --routes " + routes;
         Files.writeString(routes, "[class.order]\nattempts = 2\nmax-body = \"3B\"\n");
         run(Fixture.write(Fixture.config(discovery, server)).toString(), "");
-        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String said = output.whole();
         assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still running");
         assertEquals(2, process.exitValue(), said);
         assertTrue(said.contains(routes + ":2:1: class order: ") && said.contains("UNSAFE_AGAIN"), said);
@@ -337,7 +336,7 @@
 
     private void rejected(String config, String named) throws Exception {
         run(config, "");
-        String said = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        String said = output.whole();
         assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still running");
         assertEquals(2, process.exitValue(), said);
         assertTrue(said.contains(named) && said.lines().count() == 1, said);
@@ -349,7 +348,7 @@
         long gigabyte = 1L << 30;
         Path file = Files.createTempFile("node", ".toml");
         file.toFile().deleteOnExit();
-        Files.writeString(file, "[node]\nlisten = \"127.0.0.1:" + port + "\"\n[pool]\nservers = [\""
+        Files.writeString(file, "[node]\nlisten = \"127.0.0.1:0\"\n[pool]\nservers = [\""
                 + server.address() + "\"]\n");
         arguments = " serve " + file;
         heap = "40m";
@@ -392,11 +391,64 @@
             FakePeer.write(client, "0\r\n\r\n");
             assertTrue(FakePeer.read(client).endsWith("ok"));
         }
-        down.join();
+        down.join(TimeUnit.SECONDS.toMillis(FakePeer.PATIENCE_S));
+        assertFalse(down.isAlive(), "not all has come");
         assertTrue(downloaded > gigabyte, downloaded + " bytes");
         assertTrue(process.isAlive());
     }
 
+    /** As nohup and some supervisors start it; the runtime leaves such a signal ignored. */
+    @Test
+    void aProcessThatCanNotHearSighupSaysSoAndReloadsByWord() throws Exception {
+        Path folder = Files.createTempDirectory("deaf");
+        Path socket = folder.resolve("s");
+        Path file = folder.resolve("node.toml");
+        String node = "[node]\nlisten = \"127.0.0.1:0\"\n[pool]\nservers = [\"" + server.address()
+                + "\"]\n[control]\nsocket = \"" + socket + "\"\naudit = \"" + folder.resolve("audit") + "\"\n";
+        Files.writeString(file, node);
+        arguments = " serve " + file;
+        run(null, "trap '' HUP && ");
+        awaitLine("SIGHUP is ignored");
+        await("/");
+        assertTrue(ctl(0, socket, "status").contains("SIGHUP is ignored"));
+        Files.writeString(file, node + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4\"\n");
+        assertTrue(ctl(1, socket, "reload").contains("WRONG_UNIT"));
+        Files.writeString(file, node + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4B\"\n");
+        ctl(0, socket, "reload");
+        try (Socket client = connect()) {
+            FakePeer.write(client, "POST /photos/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde");
+            assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 413 "));
+        }
+        process.destroy();
+        assertTrue(process.waitFor(FakePeer.PATIENCE_S, TimeUnit.SECONDS), "still there");
+        try (var files = Files.list(folder)) {
+            for (Path each : files.toList()) {
+                Files.delete(each);
+            }
+        }
+        Files.delete(folder);
+    }
+
+    private static String ctl(int code, Path socket, String... command) {
+        StringWriter out = new StringWriter();
+        List<String> all = new ArrayList<>(List.of("--node", socket.toString()));
+        all.addAll(List.of(command));
+        assertEquals(code, new CommandLine(new CtlCommand()).setOut(new PrintWriter(out))
+                .setErr(new PrintWriter(out)).execute(all.toArray(String[]::new)), out::toString);
+        return out.toString();
+    }
+
+    @Test
+    void onThePlatformReadyTellsThatSighupIsIgnored() throws Exception {
+        start(Fixture.config(discovery, server), "trap '' HUP && ");
+        try (Socket client = connect()) {
+            FakePeer.write(client, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
+            String answer = FakePeer.read(client);
+            assertTrue(answer.contains("SIGHUP is ignored"), answer);
+        }
+        awaitLine("SIGHUP is ignored");
+    }
+
     @Test
     void itListensOnlyOnceItIsWarm() throws Exception {
         start(Fixture.config(discovery, server), "");
--- a/src/test/java/vetchpost/daemon/ReloadTest.java
+++ b/src/test/java/vetchpost/daemon/ReloadTest.java
@@ -6,6 +6,7 @@
 
 import java.net.ConnectException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.concurrent.CountDownLatch;
@@ -41,15 +42,13 @@
 
     @Test
     void classesServersAndTheAddressChangeUnderARequestInHand() throws Exception {
-        int free;
-        try (ServerSocket socket = new ServerSocket(0)) {
-            free = socket.getLocalPort();
-        }
         try (Alone node = new Alone(Alone.pool(slow)); Socket client = node.connect()) {
             FakePeer.write(client, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
             slow.nextRequest();
-            node.reload(free, "[classes.all]\ndeadline = \"20s\"\n" + Alone.pool(other));
-            try (Socket late = Alone.connect(free)) {
+            // Another address of the loopback, whose port the system chooses: none that somebody else may take.
+            InetSocketAddress moved = node.reload("127.0.0.2:0", "[classes.all]\ndeadline = \"20s\"\n"
+                    + Alone.pool(other));
+            try (Socket late = Alone.connect(moved)) {
                 FakePeer.write(late, Alone.get("/b", CLOSE));
                 assertTrue(Alone.rest(late).endsWith("new"), "the new servers at the new address");
             }
@@ -67,8 +66,9 @@
     void anAddressThatCanNotBeHadLeavesTheOldOne() throws Exception {
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
                 Alone node = new Alone(Alone.pool(other))) {
-            node.reload(taken.getLocalPort(), "[classes.all]\n" + Alone.pool(other));
-            // The attempt to bind ends on the loop, behind what is asked there first.
+            InetSocketAddress stayed = node.reload("127.0.0.1:" + taken.getLocalPort(), "[classes.all]\n"
+                    + Alone.pool(other));
+            assertEquals(node.port(), stayed.getPort());
             assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
             assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
         }
@@ -77,8 +77,7 @@
     @Test
     void aFileThatBreaksARuleChangesNothing() throws Exception {
         try (Alone node = new Alone(Alone.pool(other))) {
-            assertThrows(IllegalArgumentException.class, () -> node.reload(0,
-                    "[classes.all]\nrepeat = \"safe\"\n"
+            assertThrows(IllegalArgumentException.class, () -> node.reload("[classes.all]\nrepeat = \"safe\"\n"
                     + "methods = [\"POST\"]\n" + Alone.pool(slow)));
             assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
         }
@@ -88,8 +87,7 @@
     @Test
     void aClassThatIsNewIsKnownFromThenOn() throws Exception {
         try (Alone node = new Alone(Alone.pool(other))) {
-            node.reload(0,
-                    "[classes.a]\nmethods = [\"GET\"]\n[classes.b]\nmethods = [\"POST\"]\n[classes.c]\n"
+            node.reload("[classes.a]\nmethods = [\"GET\"]\n[classes.b]\nmethods = [\"POST\"]\n[classes.c]\n"
                     + Alone.pool(other));
             assertTrue(node.all("DELETE / HTTP/1.1\r\nHost: a\r\n" + CLOSE + "\r\n").endsWith("new"));
         }
@@ -100,7 +98,7 @@
         try (Alone node = new Alone(Alone.pool(other))) {
             String post = "POST /photos/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n" + CLOSE + "\r\nabcde";
             assertTrue(node.all(post).endsWith("new"));
-            node.reload(0, Alone.pool(other) + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4B\"\n");
+            node.reload(Alone.pool(other) + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4B\"\n");
             assertTrue(node.all(post).startsWith("HTTP/1.1 413 "));
             assertTrue(node.all(post.replace("/photos/1", "/else")).endsWith("new"));
         }
