--- a/src/main/java/vetchpost/routes/FileRoutePolicy.java
+++ b/src/main/java/vetchpost/routes/FileRoutePolicy.java
@@ -1,6 +1,7 @@
 package vetchpost.routes;
 
-import java.util.IdentityHashMap;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -9,28 +10,85 @@
 import vetchpost.core.RouteBounds;
 import vetchpost.core.RoutePolicy;
 import vetchpost.decision.Balancer.Settings;
+import vetchpost.store.PackedTree;
 
 /**
  * The routes of a proved file, with what they count: requests in hand for each route, and a retry budget for
- * each tenant of each, so that no tenant can spend another's. What it keeps is bounded by routes times
- * tenants,
- * and made when first used.
+ * each tenant of each, so that no tenant can spend another's. All of it is made when first used; of what was
+ * used longest ago and has nothing in hand no more is kept than {@link #MOST_KEPT}, and begins anew when used
+ * again.
+ *
+ * <p>Another table comes into force at once and for requests from then on: what a route that stays the same
+ * has counted goes on, one that changed counts on what it has in hand, and requests keep the bounds that they
+ * began with.
  */
 public final class FileRoutePolicy implements RoutePolicy {
-    private final RouteTable table;
-    private final List<String> classes;
-    private final int tenants;
-    private final long adviceUs;
+    /** Routes, and tenants of routes; some 15 MB of each if all were kept. */
+    static final int MOST_KEPT = 65_536;
+
+    private RouteTable table;
+    private List<String> classes;
+    private long adviceUs;
     private final SplittableRandom random;
-    private final Map<Route, State> states = new IdentityHashMap<>();
+    private final Map<Place, State> states = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Place, State> eldest) {
+            // One with requests in hand would lose count of them; it goes on being kept, and is looked at
+            // again.
+            return size() > MOST_KEPT && eldest.getValue().inHand == 0;
+        }
+    };
+    private final Map<Slot, Bounds> bounds = new LinkedHashMap<>(16, 0.75f, true) {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Slot, Bounds> eldest) {
+            return size() > MOST_KEPT;
+        }
+    };
+
+    /** A route for one class: its entry's key, or null for the class's own. */
+    private static final class Place {
+        private final int cls;
+        private final byte[] key;
+
+        Place(int cls, byte[] key) {
+            this.cls = cls;
+            this.key = key;
+        }
+
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Place place && cls == place.cls && Arrays.equals(key, place.key);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * cls + Arrays.hashCode(key);
+        }
+    }
 
-    /** What a route counts. */
+    /** What a route counts, and by what entry and rules its limits were made. */
     private static final class State {
-        private final Bounds[] byTenant;
+        private Limits limits;
+        private PackedTree.Item entry;
+        private RouteTable by;
         private int inHand;
+    }
+
+    /** One tenant's of a route, as long as its limits are these. */
+    private record Slot(State state, Limits limits, int tenant) {
+        @Override
+        public boolean equals(Object other) {
+            return other instanceof Slot slot && state == slot.state && tenant == slot.tenant
+                    && limits == slot.limits;
+        }
 
-        State(int tenants) {
-            byTenant = new Bounds[tenants + 1];
+        @Override
+        public int hashCode() {
+            return 31 * System.identityHashCode(state) + tenant;
         }
     }
 
@@ -41,26 +99,65 @@
      * @param seed of the jitter
      */
     public FileRoutePolicy(RouteTable table, Settings settings, long seed) {
-        this.table = table;
-        classes = settings.classes.stream().map(c -> c.name()).toList();
-        tenants = settings.tenants.size();
-        adviceUs = settings.maxRetryAfterUs;
+        settle(table, settings);
         random = new SplittableRandom(seed);
     }
 
+    /**
+     * Has this table hold for requests from now on, by these classes and tenants; takes no time to speak of.
+     */
+    public void settle(RouteTable now, Settings settings) {
+        List<String> names = settings.classes.stream().map(c -> c.name()).toList();
+        if (classes != null && !(classes.equals(names) && now.rules().sharesTenants(table.rules()))) {
+            // Counts are kept by the places of both.
+            states.clear();
+            bounds.clear();
+        }
+        table = now;
+        classes = names;
+        adviceUs = settings.maxRetryAfterUs;
+    }
+
+    /** The table in force. */
+    public RouteTable table() {
+        return table;
+    }
+
     @Override
     public RouteBounds boundsOf(ClientRequest request) {
-        Route route = table.find(classes.get(request.classIndex()), request.method(), request.target(),
-                request.tenant());
-        if (route == null) {
+        RouteTable.Match match = table.match(classes.get(request.classIndex()), request.method(),
+                request.target(), request.tenant());
+        if (match == null) {
             return null;
         }
-        State state = states.computeIfAbsent(route, r -> new State(tenants));
-        int tenant = request.tenant() + 1;
-        if (state.byTenant[tenant] == null) {
-            state.byTenant[tenant] = new Bounds(state, route.limits());
+        State state = stateOf(request.classIndex(), match);
+        Slot slot = new Slot(state, state.limits, request.tenant());
+        Bounds found = bounds.get(slot);
+        if (found == null) {
+            found = new Bounds(state, state.limits);
+            bounds.put(slot, found);
         }
-        return state.byTenant[tenant];
+        return found;
+    }
+
+    private State stateOf(int cls, RouteTable.Match match) {
+        PackedTree.Item entry = match.entry();
+        Place place = new Place(cls, entry == null ? null : entry.key());
+        State state = states.get(place);
+        if (state == null) {
+            state = new State();
+            states.put(place, state);
+        }
+        boolean sameEntry = entry == null ? state.entry == null : state.entry != null
+                && state.entry.stamp() == entry.stamp() && Arrays.equals(state.entry.value(), entry.value());
+        if (state.limits == null || !sameEntry || state.by != table && !state.by.hasTheRulesOf(table)) {
+            Limits limits = table.route(match).limits();
+            // The same limits go on as they are, with all that is counted by them.
+            state.limits = limits.equals(state.limits) ? state.limits : limits;
+        }
+        state.entry = entry;
+        state.by = table;
+        return state;
     }
 
     /** A route's bounds for one tenant. */
--- a/src/main/java/vetchpost/routes/Near.java
+++ b/src/main/java/vetchpost/routes/Near.java
@@ -4,6 +4,11 @@
 final class Near {
     /** How far a misspelt word may be from the one that was meant. */
     private static final int NEAR = 3;
+    /**
+     * Among more than this nobody looks: each word costs some microseconds, and a file may have many wrong
+     * ones.
+     */
+    private static final int MOST = 1_000;
 
     private Near() { }
 
@@ -11,7 +16,11 @@
     static String of(String text, Iterable<String> known) {
         String best = "";
         int least = NEAR + 1;
+        int seen = 0;
         for (String each : known) {
+            if (++seen > MOST) {
+                return "";
+            }
             int distance = distance(text, each);
             if (distance < least) {
                 least = distance;
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -16,6 +16,7 @@
 import vetchpost.routes.Section.Entry;
 import vetchpost.routes.Section.Kind;
 import vetchpost.routes.Violation.Rule;
+import vetchpost.store.Change;
 
 /**
  * Proves the operator's file against the four rules before the first request, as a compiler would, and makes
@@ -25,8 +26,9 @@
     /** Between planning a repeat and its first byte at a server: a turn of the loop, a connect, the way. */
     static final long MARGIN_US = 25_000;
     static final int MOST_BODY = 64 * 1024;
-    private static final int MOST_ROUTES = 100_000;
+    private static final int MOST_ROUTES = 1_000_000;
     private static final int MOST_ATTEMPTS = 100;
+    private static final int MOST_NAME = 1_024;
     /** Copies of half of all requests and more are no hedge, and of less than one in a hundred none. */
     private static final int LEAST_PERCENTILE = 50;
     private static final int MOST_PERCENTILE = 99;
@@ -77,19 +79,31 @@
     private final boolean alone;
     private final List<Violation> violations = new ArrayList<>();
     private final Map<String, RequestClass> classes = new LinkedHashMap<>();
-    private final Map<String, Integer> tenants = new HashMap<>();
+    private final TenantNames tenants;
+    private Map<Key, Figure> defaults = Map.of();
+    private final Map<String, Map<Key, Figure>> byClass = new HashMap<>();
 
     private Proof.Part part;
+    private RouteTable table;
+    /** Of routes that are not the same as in the table before; those have theirs. */
+    private long version;
+    private RouteTable before;
+    private int routes;
+    private Position last;
 
     /** A value that has been read, and where it stands. */
     private record Figure(double value, Position at) { }
 
-    private Prover(Settings settings, boolean checking, boolean alone) {
+    private Prover(Settings settings, boolean checking, boolean alone, TenantNames tenants) {
         this.settings = settings;
         this.checking = checking;
         this.alone = alone;
+        this.tenants = tenants;
         settings.classes.forEach(c -> classes.put(c.name(), c));
-        settings.tenants.forEach(t -> tenants.put(t.name(), tenants.size()));
+    }
+
+    private Prover(Settings settings, boolean checking, boolean alone) {
+        this(settings, checking, alone, new TenantNames(settings.tenants));
     }
 
     /** Proves a file by the platform's settings. */
@@ -107,6 +121,80 @@
         return new Prover(settings, false, false).prove(file);
     }
 
+    /**
+     * Begins with the tables of a file that are not routes; {@link #add} takes those one by one, so that not
+     * all have to be in memory, and {@link #end} tells what all comes to.
+     *
+     * @param alone whether the file makes a node without a platform
+     * @param before what held before: routes that are the same keep their versions; null for nothing
+     * @param version of the others
+     */
+    public static Prover begin(List<Section> others, Settings settings, boolean alone, RouteTable before,
+            long version) {
+        Prover prover = new Prover(settings, true, alone);
+        prover.before = before;
+        prover.version = version;
+        prover.general(others);
+        return prover;
+    }
+
+    /**
+     * What becomes of a route.
+     *
+     * @param section what it says from then on, its name too if it has one; null if it goes
+     * @param at where messages say that this stands
+     */
+    public record RouteChange(Change.Op op, String name, Section section, Position at) { }
+
+    /**
+     * Proves changes by what they can break, which is their routes and those of the same name or match, and
+     * not by all routes. It says the same as the proof of a file with the changes in it would.
+     *
+     * @param version that the changes have
+     * @return a table with all of them, or what they violate
+     */
+    public static Proof change(RouteTable base, List<RouteChange> changes, long version) {
+        Prover rules = base.rules();
+        Prover prover = new Prover(rules.settings, true, rules.alone, rules.tenants);
+        prover.defaults = rules.defaults;
+        prover.byClass.putAll(rules.byClass);
+        prover.table = base;
+        prover.version = version;
+        // What goes makes room first, wherever in the batch it is told.
+        for (RouteChange change : changes) {
+            boolean there = base.isNamed(change.name());
+            if (change.op() != Change.Op.PUT && !there) {
+                prover.violated(change.at(), "route " + change.name(), Rule.UNKNOWN_ROUTE,
+                        "there is no route of this name", "a put");
+            } else if (change.op() != Change.Op.PUT) {
+                prover.table = prover.table.without(change.name());
+            }
+        }
+        for (RouteChange change : changes) {
+            if (change.section() != null) {
+                prover.add(change.section());
+            }
+        }
+        return prover.end();
+    }
+
+    /** These limits with no more proof, for a table to read its routes by. */
+    private Prover unchecked() {
+        Prover reader = new Prover(settings, false, alone, tenants);
+        reader.defaults = defaults;
+        reader.byClass.putAll(byClass);
+        return reader;
+    }
+
+    /** Whether tenants have the same places by both. */
+    boolean sharesTenants(Prover other) {
+        return tenants == other.tenants || settings.tenants.equals(other.settings.tenants);
+    }
+
+    TenantNames tenants() {
+        return tenants;
+    }
+
     private void violated(Position at, String route, Rule rule, String what, String fits) {
         if (violations.size() < MOST_VIOLATIONS) {
             violations.add(new Violation(at, route, rule, what, fits));
@@ -114,12 +202,20 @@
     }
 
     private Proof prove(List<Section> file) {
-        Map<Key, Figure> defaults = new TreeMap<>();
-        Map<String, Map<Key, Figure>> byClass = new HashMap<>();
+        general(file);
+        for (Section section : file) {
+            if (section.kind() == Kind.ROUTE) {
+                add(section);
+            }
+        }
+        return end();
+    }
+
+    private void general(List<Section> file) {
         Map<String, Section> classSections = new HashMap<>();
         for (Section section : file) {
             switch (section.kind()) {
-                case DEFAULTS -> defaults.putAll(figures(section));
+                case DEFAULTS -> defaults = figures(section);
                 case CLASS -> {
                     if (!classes.containsKey(section.name())) {
                         violated(section.at(), section.name(), Rule.UNKNOWN_CLASS, "there is no class '"
@@ -136,31 +232,53 @@
                 default -> { }
             }
         }
-        Map<String, Route> ofClasses = new HashMap<>();
-        Map<String, Route> all = new LinkedHashMap<>();
+        Map<String, Route> ofClasses = new LinkedHashMap<>();
         for (RequestClass cls : classes.values()) {
-            Map<Key, Figure> own = new TreeMap<>(defaults);
-            own.putAll(byClass.getOrDefault(cls.name(), Map.of()));
             Section section = classSections.get(cls.name());
-            Route route = new Route(cls.name(), limits(cls, own, "class " + cls.name(),
-                    section == null ? null : section.at()));
-            ofClasses.put(cls.name(), route);
-            all.put(cls.name(), route);
-        }
-        RouteTable table = new RouteTable(ofClasses, alone);
-        int routes = 0;
-        for (Section section : file) {
-            if (section.kind() == Kind.ROUTE && ++routes <= MOST_ROUTES) {
-                route(section, defaults, byClass, table, all);
-            }
+            ofClasses.put(cls.name(), new Route(cls.name(), limits(cls, with(cls.name(), Map.of()), "class "
+                    + cls.name(), section == null ? null : section.at())));
         }
+        table = new RouteTable(before != null && holdsAsIn(before.rules()) ? before.rules() : unchecked(),
+                alone,
+                ofClasses);
+    }
+
+    /** Whether all routes that say the same have the same limits by both. */
+    private boolean holdsAsIn(Prover other) {
+        return alone == other.alone && settings.maxAttempts == other.settings.maxAttempts
+                && settings.classes.equals(other.settings.classes)
+                && settings.tenants.equals(other.settings.tenants) && values().equals(other.values());
+    }
+
+    /** What the defaults and classes say, without the places where they say it. */
+    private Map<String, Map<Key, Double>> values() {
+        Map<String, Map<Key, Double>> all = new HashMap<>();
+        all.put("", values(defaults));
+        byClass.forEach((cls, own) -> all.put("class " + cls, values(own)));
+        return all;
+    }
+
+    private static Map<Key, Double> values(Map<Key, Figure> figures) {
+        Map<Key, Double> values = new TreeMap<>();
+        figures.forEach((key, figure) -> values.put(key, figure.value()));
+        return values;
+    }
+
+    private Map<Key, Figure> with(String cls, Map<Key, Figure> own) {
+        Map<Key, Figure> all = new TreeMap<>(defaults);
+        all.putAll(byClass.getOrDefault(cls, Map.of()));
+        all.putAll(own);
+        return all;
+    }
+
+    /** What all comes to, with every violation in the order of the file. */
+    public Proof end() {
         if (routes > MOST_ROUTES) {
-            violated(file.get(file.size() - 1).at(), "", Rule.OUT_OF_RANGE, routes + " routes", MOST_ROUTES
-                    + "");
+            violated(last, "", Rule.OUT_OF_RANGE, routes + " routes", MOST_ROUTES + "");
         }
         violations.sort(Comparator.comparingInt((Violation v) -> v.at().line())
                 .thenComparingInt(v -> v.at().column()));
-        return new Proof(violations.isEmpty() ? table : null, all, part, List.copyOf(violations));
+        return new Proof(violations.isEmpty() ? table : null, table.all(), part, List.copyOf(violations));
     }
 
     // ---------------------------------------------------------------- the part of the fleet
@@ -200,109 +318,130 @@
 
     // ---------------------------------------------------------------- routes
 
-    private void route(Section section, Map<Key, Figure> defaults, Map<String, Map<Key, Figure>> byClass,
-            RouteTable table, Map<String, Route> all) {
+    /** Takes one more route. */
+    public void add(Section section) {
+        last = section.at();
+        if (++routes > MOST_ROUTES) {
+            return;
+        }
         String path = text(section, Key.PATH);
         String name = text(section, Key.NAME);
         String label = "route " + (name == null ? path == null ? "" : path : name);
-        List<String> segments = pattern(section, path, label);
-        String cls = text(section, Key.CLASS);
-        if (alone) {
-            anywhere(section, path, label, segments, cls, defaults, byClass, table, all);
+        if (label.length() > MOST_NAME) {
+            violated(at(section, Key.NAME, Key.PATH), "", Rule.OUT_OF_RANGE, "a name of " + label.length()
+                    + " characters", "1,000 or fewer");
             return;
         }
-        if (cls == null && segments != null) {
+        List<String> segments = pattern(section, path, label);
+        String cls = text(section, Key.CLASS);
+        if (cls == null && segments != null && !alone) {
             cls = segments.get(0);
         }
-        RequestClass known = cls == null ? null : classes.get(cls);
-        if (cls == null && path != null) {
+        if (cls == null && path == null) {
+            violated(section.at(), label, Rule.UNREACHABLE, "it says neither class nor path",
+                    "class or path");
             return;
         }
-        if (cls == null) {
-            violated(section.at(), label,
-                    Rule.UNREACHABLE, "it says neither class nor path", "class or path");
+        if (cls == null && !alone) {
             return;
         }
-        if (known == null) {
-            violated(at(section, Key.CLASS, Key.PATH), label, Rule.UNKNOWN_CLASS, "there is no class '"
-                    + cls + "'",
-                    Near.of(cls, classes.keySet()));
+        if (cls != null && !classes.containsKey(cls)) {
+            violated(at(section, Key.CLASS, Key.PATH), label, Rule.UNKNOWN_CLASS,
+                    "there is no class '" + cls + "'", Near.of(cls, classes.keySet()));
             return;
         }
-        if (segments != null && !segments.get(0).equals(cls)) {
+        if (!alone && segments != null && !segments.get(0).equals(cls)) {
             violated(at(section, Key.PATH, Key.CLASS), label, Rule.UNREACHABLE, "requests of class " + cls
                     + " have paths that begin with /" + cls, "\"/" + cls + "/...\"");
             return;
         }
-        String method = method(section, known, label);
-        Integer tenant = tenant(section, label);
-        Map<Key, Figure> own = new TreeMap<>(defaults);
-        own.putAll(byClass.getOrDefault(cls, Map.of()));
-        own.putAll(figures(section));
-        Route route = new Route(label.substring("route ".length()), limits(known, own, label, section.at()));
-        if (tenant == null || path != null && segments == null) {
+        String method = alone ? text(section, Key.METHOD) : method(section, classes.get(cls), label);
+        String tenant = tenant(section, label);
+        Map<Key, Figure> own = figures(section);
+        boolean readable = tenant != null && (path == null || segments != null);
+        if (!readable && alone) {
             return;
         }
-        boolean prefix = segments == null || segments.get(segments.size() - 1).equals("*");
-        List<String> rest = segments == null ? List.of()
-                : segments.subList(1, segments.size() - (prefix ? 1 : 0));
-        Route same = table.add(new RouteKey(cls, method, rest, prefix, tenant), route);
-        if (same != null) {
-            violated(section.at(), label, Rule.SAME_MATCH, "it matches the same as route " + same.name(),
-                    "another path, tenant or method");
-        } else if (all.putIfAbsent(route.name(), route) != null) {
-            violated(at(section, Key.NAME, Key.PATH), label, Rule.SAME_NAME, "there is another of this name",
-                    "another name");
+        int found = violations.size();
+        for (RequestClass each : classes.values()) {
+            if (cls == null || cls.equals(each.name())) {
+                limits(each, with(each.name(), own), label, section.at());
+            }
+        }
+        if (readable) {
+            enter(section, label, key(segments, cls, method, tenant), found);
         }
     }
 
-    /** A route of paths that are the application's own: of one class, or of all. */
-    private void anywhere(Section section, String path, String label, List<String> segments, String cls,
-            Map<Key, Figure> defaults, Map<String, Map<Key, Figure>> byClass, RouteTable table,
-            Map<String, Route> all) {
-        if (cls == null && path == null) {
-            violated(section.at(), label, Rule.UNREACHABLE, "it says neither class nor path",
-                    "class or path");
+    /** A proved route takes its place, if nobody has its name or matches the same. */
+    private void enter(Section section, String label, RouteKey key, int found) {
+        String name = label.substring("route ".length());
+        String same = table.sameMatch(key);
+        if (same != null) {
+            violated(section.at(), label, Rule.SAME_MATCH, "it matches the same as route " + same,
+                    "another path, tenant or method");
             return;
         }
-        if (cls != null && !classes.containsKey(cls)) {
-            violated(at(section, Key.CLASS, Key.PATH), label, Rule.UNKNOWN_CLASS, "there is no class '" + cls
-                    + "'", Near.of(cls, classes.keySet()));
+        if (table.isNamed(name)) {
+            violated(at(section, Key.NAME, Key.PATH), label, Rule.SAME_NAME, "there is another of this name",
+                    "another name");
             return;
         }
-        String method = text(section, Key.METHOD);
-        Integer tenant = tenant(section, label);
-        Map<Key, Figure> own = figures(section);
-        if (tenant == null || path != null && segments == null) {
+        if (violations.size() > found && checking) {
+            // Not to be read by its bytes, which may be none; but it has its place among the others.
+            table = table.with(name, key, RouteCodec.bytes(new Section(Kind.ROUTE, "", section.at(),
+                    placeOf(section))), version);
             return;
         }
-        boolean prefix = segments == null || segments.get(segments.size() - 1).equals("*");
-        List<String> rest = segments == null ? List.of()
-                : segments.subList(0, segments.size() - (prefix ? 1 : 0));
-        String name = label.substring("route ".length());
-        boolean first = true;
-        for (RequestClass each : classes.values()) {
-            if (cls != null && !cls.equals(each.name())) {
-                continue;
-            }
-            Map<Key, Figure> figures = new TreeMap<>(defaults);
-            figures.putAll(byClass.getOrDefault(each.name(), Map.of()));
-            figures.putAll(own);
-            Route route = new Route(name, limits(each, figures, label, section.at()));
-            Route same = table.add(new RouteKey(each.name(), method == null ? "" : method, rest, prefix,
-                    tenant), route);
-            if (same != null) {
-                violated(section.at(), label, Rule.SAME_MATCH, "it matches the same as route " + same.name(),
-                        "another path, tenant or method");
-                return;
-            }
-            if (first && all.putIfAbsent(name, route) != null) {
-                violated(at(section, Key.NAME, Key.PATH), label, Rule.SAME_NAME,
-                        "there is another of this name", "another name");
-                return;
+        byte[] bytes;
+        try {
+            bytes = RouteCodec.bytes(section);
+        } catch (IllegalArgumentException e) {
+            if (violations.isEmpty()) {
+                violated(section.at(), label, Rule.OUT_OF_RANGE, e.getMessage(), "");
             }
-            first = false;
+            bytes = RouteCodec.bytes(new Section(Kind.ROUTE, "", section.at(), placeOf(section)));
         }
+        table = table.with(name, key, bytes, before == null ? version : before.versionOf(name, bytes,
+                version));
+    }
+
+    /** What a route says of where it stands, without its limits. */
+    private static Map<String, Entry> placeOf(Section section) {
+        Map<String, Entry> place = new LinkedHashMap<>();
+        section.entries().forEach((text, entry) -> {
+            Key key = Key.of(text);
+            if (key != null && !key.isLimit() && entry.value() instanceof String) {
+                place.put(text, entry);
+            }
+        });
+        return place;
+    }
+
+    private RouteKey key(List<String> segments, String cls, String method, String tenant) {
+        boolean prefix = segments == null || segments.get(segments.size() - 1).equals("*");
+        List<String> rest = segments == null ? List.of()
+                : segments.subList(alone ? 0 : 1, segments.size() - (prefix ? 1 : 0));
+        return new RouteKey(cls == null ? "" : cls, method == null ? "" : method, rest, prefix, tenant);
+    }
+
+    /** Where a route that was proved has its place. */
+    RouteKey keyOf(Section section) {
+        List<String> segments = pattern(section, said(section, Key.PATH), "");
+        String cls = said(section, Key.CLASS);
+        String tenant = said(section, Key.TENANT);
+        return key(segments, cls == null && !alone && segments != null ? segments.get(0) : cls,
+                said(section, Key.METHOD), tenant == null ? "" : tenant);
+    }
+
+    private static String said(Section section, Key key) {
+        Entry entry = section.entries().get(key.text());
+        return entry == null ? null : (String) entry.value();
+    }
+
+    /** A route that was proved, for requests of a class. */
+    Route route(String name, String cls, Section section) {
+        return new Route(name, limits(classes.get(cls), with(cls, figures(section)), name, section.at()));
     }
 
     private List<String> pattern(Section section, String path, String label) {
@@ -328,17 +467,18 @@
         return method == null ? "" : method;
     }
 
-    private Integer tenant(Section section, String label) {
+    /** Its name, empty for every tenant; null for one that is not known. */
+    private String tenant(Section section, String label) {
         String tenant = text(section, Key.TENANT);
         if (tenant == null) {
-            return RouteKey.EVERY;
+            return "";
         }
-        Integer index = tenants.get(tenant);
-        if (index == null) {
+        if (tenants.of(tenant) < 0) {
             violated(at(section, Key.TENANT, Key.TENANT), label, Rule.UNKNOWN_TENANT, "there is no tenant '"
-                    + tenant + "'", Near.of(tenant, tenants.keySet()));
+                    + tenant + "'", Near.of(tenant, tenants.all()));
+            return null;
         }
-        return index;
+        return tenant;
     }
 
     private static Position at(Section section, Key key, Key orElse) {
--- a/src/main/java/vetchpost/routes/RouteKey.java
+++ b/src/main/java/vetchpost/routes/RouteKey.java
@@ -9,12 +9,12 @@
  * @param method or empty for any
  * @param segments of the path after the class; {@link #ANY} for one of any text
  * @param prefix whether more segments may follow
- * @param tenant index into the settings' tenants, or {@link #EVERY}
+ * @param cls or empty for any, where paths are the application's own
+ * @param tenant its name, or empty for every
  */
-record RouteKey(String cls, String method, List<String> segments, boolean prefix, int tenant) {
+record RouteKey(String cls, String method, List<String> segments, boolean prefix, String tenant) {
     /** A segment of any text. */
     static final String ANY = "{}";
-    static final int EVERY = -2;
     private static final int MOST_SEGMENTS = 32;
     private static final int MOST_LENGTH = 1_024;
 
--- a/src/main/java/vetchpost/routes/RouteTable.java
+++ b/src/main/java/vetchpost/routes/RouteTable.java
@@ -1,73 +1,211 @@
 package vetchpost.routes;
 
+import java.util.AbstractMap;
+import java.util.AbstractSet;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Arrays;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+
+import vetchpost.store.Fields;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.PackedTree;
+import vetchpost.store.PackedTree.Item;
 
 /**
  * Finds the route of a request: the most specific that matches. Paths count first, segment by segment from
- * the left, plain text before {@code {name}} before a prefix; then the tenant; then the method. Each step
- * of a
- * path is a look-up, so that the cost doesn't grow with the number of routes.
+ * the left, plain text before {@code {name}} before a prefix; then the tenant; then the method. It never
+ * changes: a change of a route makes another table, which shares all but the way to that route
+ * (docs/changes.md).
+ *
+ * <p>Routes are kept as the bytes that were proved, by name, and found by match: a look-up is a few searches
+ * in sorted bytes, so that its cost grows with the logarithm of the number of routes. Limits are made of the
+ * bytes when asked for.
  */
 public final class RouteTable {
-    /** A place in the tree of paths. */
-    private static final class Node {
-        private final Map<String, Node> texts = new HashMap<>();
-        private Node any;
-        private final List<Leaf> exact = new ArrayList<>(1);
-        private final List<Leaf> prefix = new ArrayList<>(1);
-    }
-
-    /** A route at its place, for a tenant and a method or for all. */
-    private record Leaf(int tenant, String method, Route route) {
-        boolean matches(int ofTenant, String ofMethod) {
-            return (tenant == RouteKey.EVERY || tenant == ofTenant)
-                    && (method.isEmpty() || method.equals(ofMethod));
-        }
-
-        int weight() {
-            return (tenant == RouteKey.EVERY ? 0 : 2) + (method.isEmpty() ? 0 : 1);
-        }
-    }
+    private static final String EVERY = "";
+    private static final Position NOWHERE = new Position("", 1, 1);
+    private static final byte[] ROUTES = new Key(Kind.ROUTE, "").bytes();
+    private static final byte[] PAST_ROUTES = {(byte) (ROUTES[0] + 1)};
 
-    private final Map<String, Node> classes = new HashMap<>();
-    private final Map<String, Route> otherwise;
+    /** How limits are made of what a route says, its class and the defaults. */
+    private final Prover rules;
     private final boolean alone;
+    private final Map<String, Route> otherwise;
+    /** By the bytes of their keys; entries of other kinds may be among them. */
+    private final PackedTree entries;
+    /** Names, by match. */
+    private final PackedTree matches;
+    /** How many routes requests of each class can have. */
+    private final Map<String, Integer> counts;
+    private final int routes;
 
     /**
-     * No routes so far but one for each class, by its name.
+     * The route of a request, before its limits are made.
      *
-     * @param alone whether paths are the application's own; else they begin with their class
+     * @param entry null for the route of its class
      */
-    RouteTable(Map<String, Route> otherwise, boolean alone) {
-        this.otherwise = otherwise;
+    record Match(String cls, Item entry) { }
+
+    /** No routes so far but one for each class, by its name. */
+    RouteTable(Prover rules, boolean alone, Map<String, Route> otherwise) {
+        this(rules, alone, otherwise, PackedTree.EMPTY, PackedTree.EMPTY, Map.of(), 0);
+    }
+
+    private RouteTable(Prover rules, boolean alone, Map<String, Route> otherwise, PackedTree entries,
+            PackedTree matches, Map<String, Integer> counts, int routes) {
+        this.rules = rules;
         this.alone = alone;
+        this.otherwise = otherwise;
+        this.entries = entries;
+        this.matches = matches;
+        this.counts = counts;
+        this.routes = routes;
+    }
+
+    /** With what holds for classes and for all otherwise, and the same routes. */
+    RouteTable by(Prover other, Map<String, Route> ofClasses) {
+        return new RouteTable(other, alone, ofClasses, entries, matches, counts, routes);
+    }
+
+    /**
+     * The same routes, read from a tree that holds the same entries of theirs, so that they are kept once.
+     */
+    public RouteTable over(PackedTree same) {
+        return new RouteTable(rules, alone, otherwise, same, matches, counts, routes);
+    }
+
+    /** Whether these have the same limits for classes, and by their classes for all routes. */
+    boolean hasTheRulesOf(RouteTable other) {
+        return rules == other.rules;
+    }
+
+    Prover rules() {
+        return rules;
+    }
+
+    boolean isAlone() {
+        return alone;
     }
 
-    /** Adds a route; the one that has the same key already is returned instead, if there is one. */
-    Route add(RouteKey key, Route route) {
-        Node node = classes.computeIfAbsent(key.cls(), c -> new Node());
+    /** The entries of its routes, perhaps among others. */
+    public PackedTree entries() {
+        return entries;
+    }
+
+    /** How many routes there are, besides those of classes. */
+    public int size() {
+        return routes;
+    }
+
+    /** Bytes that it keeps beside its entries. */
+    public long indexBytes() {
+        return matches.retainedBytes();
+    }
+
+    private static byte[] keyOf(String name) {
+        return new Key(Kind.ROUTE, name).bytes();
+    }
+
+    /** Whether a route or a class has this name. */
+    boolean isNamed(String name) {
+        return otherwise.containsKey(name) || entries.get(keyOf(name)) != null;
+    }
+
+    /** The name of the route that matches the same as this would, or null. */
+    String sameMatch(RouteKey key) {
+        List<String> classes = new ArrayList<>(List.of(key.cls()));
+        if (key.cls().isEmpty()) {
+            classes.addAll(otherwise.keySet());
+        } else if (alone) {
+            classes.add(EVERY);
+        }
+        for (String cls : classes) {
+            Item item = matches.get(bytes(key, cls));
+            if (item != null) {
+                return Fields.text(item.value());
+            }
+        }
+        return null;
+    }
+
+    private byte[] bytes(RouteKey key, String cls) {
+        MatchKey into = new MatchKey();
         for (String segment : key.segments()) {
             if (segment.equals(RouteKey.ANY)) {
-                node.any = node.any == null ? new Node() : node.any;
-                node = node.any;
+                into.any();
             } else {
-                node = node.texts.computeIfAbsent(segment, s -> new Node());
+                into.segment(segment);
             }
         }
-        List<Leaf> leaves = key.prefix() ? node.prefix : node.exact;
-        for (Leaf leaf : leaves) {
-            if (leaf.tenant == key.tenant() && leaf.method.equals(key.method())) {
-                return leaf.route;
-            }
+        return into.path(key.prefix()).of(key.tenant(), key.method(), cls).bytes();
+    }
+
+    private Map<String, Integer> counted(String cls, int by) {
+        Map<String, Integer> all = new LinkedHashMap<>(counts);
+        for (String each : cls.isEmpty() ? otherwise.keySet() : Set.of(cls)) {
+            all.merge(each, by, Integer::sum);
         }
-        leaves.add(new Leaf(key.tenant(), key.method(), route));
-        leaves.sort((a, b) -> b.weight() - a.weight());
-        return null;
+        return all;
+    }
+
+    /** With one more route, which has been proved, from that version on. */
+    RouteTable with(String name, RouteKey key, byte[] route, long version) {
+        byte[] text = Fields.utf8(name);
+        return new RouteTable(rules, alone, otherwise, entries.put(keyOf(name), route, version),
+                matches.put(bytes(key, key.cls()), text, 0), counted(key.cls(), 1), routes + 1);
+    }
+
+    /** The version of a route if it has these bytes here too, else the other one. */
+    long versionOf(String name, byte[] route, long otherwise) {
+        Item item = entries.get(keyOf(name));
+        return item != null && Arrays.equals(item.value(), route) ? item.stamp() : otherwise;
     }
 
+    /** Without a route; itself if there is none. */
+    RouteTable without(String name) {
+        Item item = entries.get(keyOf(name));
+        if (item == null) {
+            return this;
+        }
+        RouteKey key = keyOf(item);
+        byte[] match = bytes(key, key.cls());
+        Item found = matches.get(match);
+        // While many changes are taken in one by one, another may have taken its place by now.
+        boolean own = found != null && Arrays.equals(found.value(), 0, found.value().length, item.key(), 1,
+                item.key().length);
+        return new RouteTable(rules, alone, otherwise, entries.remove(item.key()),
+                own ? matches.remove(match) : matches,
+                counted(key.cls(), -1), routes - 1);
+    }
+
+    /**
+     * With what a change that was proved elsewhere makes of a route, in any order among other changes of
+     * theirs; it need not hold before the last is taken in.
+     *
+     * @param route null if it goes
+     * @throws IllegalArgumentException if these bytes are no route's
+     */
+    public RouteTable settled(String name, byte[] route, long version) {
+        RouteTable without = without(name);
+        return route == null ? without : without.with(name, keyOf(RouteCodec.section(route, NOWHERE)), route,
+                version);
+    }
+
+    private RouteKey keyOf(Item item) {
+        return keyOf(RouteCodec.section(item.value(), NOWHERE));
+    }
+
+    private RouteKey keyOf(Section section) {
+        return rules.keyOf(section);
+    }
+
+    // ---------------------------------------------------------------- look-up
+
     /**
      * The route of a request.
      *
@@ -77,41 +215,156 @@
      * @return null if the path can be read in two ways
      */
     public Route find(String cls, String method, String target, int tenant) {
-        Node root = classes.get(cls);
-        if (alone && root == null) {
-            return otherwise.get(cls); // No route has a path, so that no path has to be read.
+        Match match = match(cls, method, target, tenant);
+        return match == null ? null : route(match);
+    }
+
+    /** The same, with no limits made of it yet. */
+    Match match(String cls, String method, String target, int tenant) {
+        boolean any = counts.getOrDefault(cls, 0) > 0;
+        if (alone && !any) {
+            return new Match(cls, null); // No route has a path, so that no path has to be read.
         }
         List<String> path = RouteKey.path(target);
-        if (path != null && alone) {
-            Route found = find(root, path, 0, method, tenant);
-            return found == null ? otherwise.get(cls) : found;
-        }
-        if (path == null || path.isEmpty() || !path.get(0).equals(cls)) {
+        if (path == null || !alone && (path.isEmpty() || !path.get(0).equals(cls))) {
             return null;
         }
-        Route found = root == null ? null : find(root, path, 1, method, tenant);
-        return found == null ? otherwise.get(cls) : found;
+        Item name = any ? find(new MatchKey(), path, alone ? 0 : 1, rules.tenants().at(tenant), method,
+                cls) : null;
+        if (name == null) {
+            return new Match(cls, null);
+        }
+        byte[] key = new byte[1 + name.value().length];
+        key[0] = ROUTES[0];
+        System.arraycopy(name.value(), 0, key, 1, name.value().length);
+        return new Match(cls, entries.get(key));
     }
 
-    private static Route find(Node node, List<String> path, int at, String method, int tenant) {
-        if (at == path.size()) {
-            Route exact = first(node.exact, method, tenant);
-            return exact == null ? first(node.prefix, method, tenant) : exact;
-        }
-        Node next = node.texts.get(path.get(at));
-        Route found = next == null ? null : find(next, path, at + 1, method, tenant);
-        if (found == null && node.any != null) {
-            found = find(node.any, path, at + 1, method, tenant);
+    /** With its limits. */
+    Route route(Match match) {
+        return match.entry() == null ? otherwise.get(match.cls())
+                : rules.route(Key.of(match.entry().key()).name(), match.cls(),
+                RouteCodec.section(match.entry().value(), NOWHERE));
+    }
+
+    private Item find(MatchKey at, List<String> path, int from, String tenant, String method, String cls) {
+        int here = at.mark();
+        if (from < path.size()) {
+            Item found = isThere(at.segment(path.get(from))) ? find(at, path, from + 1, tenant, method,
+                    cls) : null;
+            at.cut(here);
+            if (found == null && isThere(at.any())) {
+                found = find(at, path, from + 1, tenant, method, cls);
+            }
+            at.cut(here);
+            if (found != null) {
+                return found;
+            }
+        } else {
+            Item exact = leaf(at, false, tenant, method, cls);
+            if (exact != null) {
+                return exact;
+            }
         }
-        return found == null ? first(node.prefix, method, tenant) : found;
+        return leaf(at, true, tenant, method, cls);
     }
 
-    private static Route first(List<Leaf> leaves, String method, int tenant) {
-        for (Leaf leaf : leaves) {
-            if (leaf.matches(tenant, method)) {
-                return leaf.route;
+    private boolean isThere(MatchKey at) {
+        Item next = matches.ceiling(at.bytes());
+        return next != null && at.begins(next.key());
+    }
+
+    private Item leaf(MatchKey at, boolean prefix, String tenant, String method, String cls) {
+        int here = at.mark();
+        at.path(prefix);
+        Item found = null;
+        if (isThere(at)) {
+            int leaf = at.mark();
+            for (String ofTenant : tenant.isEmpty() ? List.of(EVERY) : List.of(tenant, EVERY)) {
+                for (String ofMethod : List.of(method, EVERY)) {
+                    for (String ofClass : alone ? List.of(cls, EVERY) : List.of(cls)) {
+                        at.cut(leaf);
+                        found = found == null ? matches.get(at.of(ofTenant, ofMethod,
+                                ofClass).bytes()) : found;
+                    }
+                }
             }
         }
-        return null;
+        at.cut(here);
+        return found;
+    }
+
+    // ---------------------------------------------------------------- all of them
+
+    /** All routes and classes by name, with limits that are made as they are asked for. */
+    Map<String, Route> all() {
+        return new AbstractMap<>() {
+            @Override
+            public int size() {
+                return otherwise.size() + routes;
+            }
+
+            @Override
+            public boolean containsKey(Object name) {
+                return name instanceof String text && isNamed(text);
+            }
+
+            @Override
+            public Route get(Object name) {
+                if (!(name instanceof String text)) {
+                    return null;
+                }
+                Route ofClass = otherwise.get(text);
+                Item item = ofClass != null ? null : entries.get(keyOf(text));
+                return item == null ? ofClass : first(item);
+            }
+
+            @Override
+            public Set<Entry<String, Route>> entrySet() {
+                return new AbstractSet<>() {
+                    @Override
+                    public Iterator<Entry<String, Route>> iterator() {
+                        return iterate();
+                    }
+
+                    @Override
+                    public int size() {
+                        return otherwise.size() + routes;
+                    }
+                };
+            }
+        };
+    }
+
+    private Route first(Item item) {
+        String cls = keyOf(item).cls();
+        return route(new Match(cls.isEmpty() ? otherwise.keySet().iterator().next() : cls, item));
+    }
+
+    private Iterator<Map.Entry<String, Route>> iterate() {
+        Iterator<Map.Entry<String, Route>> classes = otherwise.entrySet().iterator();
+        return new Iterator<>() {
+            private Item next = ceiling(ROUTES);
+
+            @Override
+            public boolean hasNext() {
+                return classes.hasNext() || next != null;
+            }
+
+            @Override
+            public Map.Entry<String, Route> next() {
+                if (classes.hasNext()) {
+                    return classes.next();
+                }
+                Item item = next;
+                next = ceiling(PackedTree.after(item.key()));
+                return Map.entry(Key.of(item.key()).name(), first(item));
+            }
+        };
+    }
+
+    private Item ceiling(byte[] key) {
+        Item item = entries.ceiling(key);
+        return item == null || Arrays.compareUnsigned(item.key(), PAST_ROUTES) >= 0 ? null : item;
     }
 }
--- /dev/null
+++ b/src/main/java/vetchpost/store/Fields.java
@@ -0,0 +1,104 @@
+package vetchpost.store;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Numbered values as bytes, in the order of their numbers: texts, whole numbers and others. */
+public final class Fields {
+    private static final int TEXT = 0;
+    private static final int WHOLE = 1;
+    private static final int NUMBER = 2;
+    private static final int TYPES = 3;
+    private static final int MOST_TEXT = 2_048;
+    /** All of an entry's. */
+    public static final int MOST = 8_192;
+    private static final int MOST_FIELD = 84;
+
+    private Fields() { }
+
+    /** Takes each value as it is read. */
+    public interface Taker {
+        /** A value, which is a text, a Long or a Double. */
+        void take(int number, Object value);
+    }
+
+    /** Puts values together. */
+    public static final class Packer {
+        private final ByteBuffer into = ByteBuffer.allocate(MOST);
+
+        /**
+         * Adds a value with a number over the last one's, up to 84.
+         *
+         * @throws IllegalArgumentException if it is of no such kind, or too long
+         */
+        public void add(int number, Object value) {
+            if (number < 0 || number > MOST_FIELD) {
+                throw new IllegalArgumentException("field " + number);
+            }
+            if (value instanceof String text) {
+                byte[] utf8 = utf8(text);
+                if (utf8.length > MOST_TEXT || into.remaining() < utf8.length + 3) {
+                    throw new IllegalArgumentException("a text of " + utf8.length + " bytes is too long");
+                }
+                into.put((byte) (number * TYPES + TEXT)).putShort((short) utf8.length).put(utf8);
+            } else if (value instanceof Long whole) {
+                into.put((byte) (number * TYPES + WHOLE)).putLong(whole);
+            } else if (value instanceof Double real) {
+                into.put((byte) (number * TYPES + NUMBER)).putDouble(real);
+            } else {
+                throw new IllegalArgumentException(value + " is neither text nor a number");
+            }
+        }
+
+        /** All that was added. */
+        public byte[] bytes() {
+            return Arrays.copyOf(into.array(), into.position());
+        }
+    }
+
+    /**
+     * Reads what was packed.
+     *
+     * @throws IllegalArgumentException if these bytes are nothing of the kind
+     */
+    public static void read(byte[] bytes, Taker taker) {
+        ByteBuffer from = ByteBuffer.wrap(bytes);
+        int last = -1;
+        try {
+            while (from.hasRemaining()) {
+                int tag = from.get() & 0xFF;
+                int number = tag / TYPES;
+                if (number <= last) {
+                    throw new IllegalArgumentException("field " + number + " after field " + last);
+                }
+                last = number;
+                if (tag % TYPES == TEXT) {
+                    int length = from.getShort();
+                    if (length < 0 || length > from.remaining()) {
+                        throw new IllegalArgumentException("a text of " + length + " bytes");
+                    }
+                    taker.take(number, new String(bytes, from.position(), length, StandardCharsets.UTF_8));
+                    from.position(from.position() + length);
+                } else if (tag % TYPES == WHOLE) {
+                    taker.take(number, from.getLong());
+                } else {
+                    taker.take(number, from.getDouble());
+                }
+            }
+        } catch (BufferUnderflowException e) {
+            throw new IllegalArgumentException("it ends within a value", e);
+        }
+    }
+
+    /** A text's bytes in UTF-8. */
+    public static byte[] utf8(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
+    /** The text of bytes in UTF-8. */
+    public static String text(byte[] utf8) {
+        return new String(utf8, StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/store/PackedTree.java
@@ -0,0 +1,626 @@
+package vetchpost.store;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+
+/**
+ * A persistent sorted map of bytes to bytes: a B+ tree whose leaves are packed into one array each, so that
+ * an entry costs little more than its own bytes, and whose nodes carry their count, the sum of their entries'
+ * hashes and their newest stamp. A change copies one leaf and the way to it and leaves the tree before as it
+ * was; whoever has a reference may read it for as long as wanted, from any thread.
+ *
+ * <p>The sum is commutative (as in a Merkle tree of additive hashes), so that two trees with the same entries
+ * have the same sums however they came to be. It tells differences by accident, not by an adversary.
+ */
+public final class PackedTree {
+    /** Nothing. */
+    public static final PackedTree EMPTY = new PackedTree(new Leaf(new byte[0], 0, 0, 0));
+
+    /** A leaf is copied for each change in it, and read through for each look-up: ten to twenty entries. */
+    private static final int MOST_LEAF = 1_024;
+    private static final int MOST_KIDS = 64;
+    /** Under a part of the most, a node is joined with one beside it. */
+    private static final int FEW = 4;
+    private static final int HEADER = 16;
+    private static final int REFERENCE = 4;
+    private static final int FIELDS = 48;
+    private static final int WORD = 8;
+
+    private final Node root;
+
+    /**
+     * An entry.
+     *
+     * @param stamp tells when it changed last; 0 or more
+     */
+    public record Item(byte[] key, byte[] value, long stamp) { }
+
+    /**
+     * What the entries of a range come to.
+     *
+     * @param hash the sum of their hashes
+     */
+    public record Sum(long count, long hash) { }
+
+    private abstract static class Node {
+        final long count;
+        final long sum;
+        final long newest;
+
+        Node(long count, long sum, long newest) {
+            this.count = count;
+            this.sum = sum;
+            this.newest = newest;
+        }
+
+        /** A node with the entry, or two. */
+        abstract Node[] put(byte[] key, byte[] value, long stamp);
+
+        /** Itself if there is no such key, null if nothing is left. */
+        abstract Node remove(byte[] key);
+
+        abstract Item get(byte[] key);
+
+        /** The first entry whose key is not before this, and whose stamp is over that; null for none. */
+        abstract Item next(byte[] from, long over);
+
+        abstract Item at(long index);
+
+        abstract byte[] first();
+
+        /**
+         * Adds count and hashes of the entries from one key (null for the first) to before another (null:
+         * all).
+         */
+        abstract void sum(byte[] from, byte[] to, long[] into);
+
+        abstract long bytes();
+    }
+
+    private static final class Leaf extends Node {
+        private final byte[] data;
+
+        Leaf(byte[] data, long count, long sum, long newest) {
+            super(count, sum, newest);
+            this.data = data;
+        }
+
+        @Override
+        Node[] put(byte[] key, byte[] value, long stamp) {
+            int at = 0;
+            int end = 0;
+            long without = sum;
+            int entries = (int) count + 1;
+            Reader reader = new Reader(data, 0);
+            while (reader.at < data.length) {
+                at = reader.at;
+                int order = reader.compareKey(key);
+                reader.skip();
+                if (order == 0) {
+                    without -= reader.hash(at);
+                    entries--;
+                    end = reader.at;
+                    break;
+                }
+                if (order > 0) {
+                    end = at;
+                    break;
+                }
+                at = reader.at;
+                end = at;
+            }
+            byte[] packed = new byte[at + Writer.length(key, value, stamp) + data.length - end];
+            System.arraycopy(data, 0, packed, 0, at);
+            int after = Writer.write(packed, at, key, value, stamp);
+            System.arraycopy(data, end, packed, after, data.length - end);
+            if (packed.length <= MOST_LEAF || entries == 1) {
+                // A newest stamp that was this entry's own only grows: stamps do.
+                return new Node[] {new Leaf(packed, entries, without + hash(key, value, stamp),
+                        Math.max(newest, stamp))};
+            }
+            // What is written in order fills its leaves; else they are halved.
+            int cut = after == packed.length ? at : middle(packed);
+            return new Node[] {leaf(Arrays.copyOf(packed, cut)),
+                    leaf(Arrays.copyOfRange(packed, cut, packed.length))};
+        }
+
+        private static int middle(byte[] packed) {
+            Reader reader = new Reader(packed, 0);
+            reader.skip();
+            int cut = reader.at;
+            while (cut < packed.length / 2) {
+                reader.skip();
+                if (reader.at == packed.length) {
+                    break;
+                }
+                cut = reader.at;
+            }
+            return cut;
+        }
+
+        private static Leaf leaf(byte[] packed) {
+            Reader reader = new Reader(packed, 0);
+            long count = 0;
+            long sum = 0;
+            long newest = 0;
+            while (reader.at < packed.length) {
+                int at = reader.at;
+                reader.skip();
+                sum += reader.hash(at);
+                newest = Math.max(newest, reader.stamp);
+                count++;
+            }
+            return new Leaf(packed, count, sum, newest);
+        }
+
+        @Override
+        Node remove(byte[] key) {
+            Reader reader = new Reader(data, 0);
+            while (reader.at < data.length) {
+                int at = reader.at;
+                int order = reader.compareKey(key);
+                reader.skip();
+                if (order == 0) {
+                    if (count == 1) {
+                        return null;
+                    }
+                    byte[] packed = new byte[data.length - (reader.at - at)];
+                    System.arraycopy(data, 0, packed, 0, at);
+                    System.arraycopy(data, reader.at, packed, at, data.length - reader.at);
+                    return leaf(packed);
+                }
+                if (order > 0) {
+                    break;
+                }
+            }
+            return this;
+        }
+
+        @Override
+        Item get(byte[] key) {
+            Reader reader = new Reader(data, 0);
+            while (reader.at < data.length) {
+                int order = reader.compareKey(key);
+                if (order == 0) {
+                    return reader.item();
+                }
+                if (order > 0) {
+                    return null;
+                }
+                reader.skip();
+            }
+            return null;
+        }
+
+        @Override
+        Item next(byte[] from, long over) {
+            Reader reader = new Reader(data, 0);
+            while (reader.at < data.length) {
+                int at = reader.at;
+                boolean in = from == null || reader.compareKey(from) >= 0;
+                reader.skip();
+                if (in && reader.stamp > over) {
+                    return new Reader(data, at).item();
+                }
+            }
+            return null;
+        }
+
+        @Override
+        Item at(long index) {
+            Reader reader = new Reader(data, 0);
+            for (long i = 0; i < index; i++) {
+                reader.skip();
+            }
+            return reader.item();
+        }
+
+        @Override
+        byte[] first() {
+            return new Reader(data, 0).item().key();
+        }
+
+        @Override
+        void sum(byte[] from, byte[] to, long[] into) {
+            Reader reader = new Reader(data, 0);
+            while (reader.at < data.length) {
+                int at = reader.at;
+                boolean in = (from == null || reader.compareKey(from) >= 0)
+                        && (to == null || reader.compareKey(to) < 0);
+                reader.skip();
+                if (in) {
+                    into[0]++;
+                    into[1] += reader.hash(at);
+                }
+            }
+        }
+
+        @Override
+        long bytes() {
+            return FIELDS + aligned(HEADER + data.length);
+        }
+    }
+
+    private static final class Inner extends Node {
+        private final Node[] kids;
+        /** Each one's least key, or what was so when it was made: a border between it and the one before. */
+        private final byte[][] borders;
+
+        Inner(Node[] kids, byte[][] borders) {
+            super(total(kids, 0), total(kids, 1), total(kids, 2));
+            this.kids = kids;
+            this.borders = borders;
+        }
+
+        private static long total(Node[] kids, int what) {
+            long total = 0;
+            for (Node kid : kids) {
+                total = what == 0 ? total + kid.count : what == 1 ? total + kid.sum : Math.max(total,
+                        kid.newest);
+            }
+            return total;
+        }
+
+        private int kid(byte[] key) {
+            int low = 0;
+            int high = kids.length - 1;
+            while (low < high) {
+                int middle = (low + high + 1) >>> 1;
+                if (Arrays.compareUnsigned(borders[middle], key) <= 0) {
+                    low = middle;
+                } else {
+                    high = middle - 1;
+                }
+            }
+            return low;
+        }
+
+        @Override
+        Node[] put(byte[] key, byte[] value, long stamp) {
+            int at = kid(key);
+            Node[] fresh = kids[at].put(key, value, stamp);
+            Node[] all = new Node[kids.length + fresh.length - 1];
+            byte[][] keys = new byte[all.length][];
+            System.arraycopy(kids, 0, all, 0, at);
+            System.arraycopy(borders, 0, keys, 0, at);
+            System.arraycopy(fresh, 0, all, at, fresh.length);
+            keys[at] = borders[at];
+            if (fresh.length > 1) {
+                keys[at + 1] = fresh[1].first();
+            }
+            System.arraycopy(kids, at + 1, all, at + fresh.length, kids.length - at - 1);
+            System.arraycopy(borders, at + 1, keys, at + fresh.length, kids.length - at - 1);
+            if (all.length <= MOST_KIDS) {
+                return new Node[] {new Inner(all, keys)};
+            }
+            int cut = at == kids.length - 1 ? all.length - 1 : all.length / 2;
+            return new Node[] {part(all, keys, 0, cut), part(all, keys, cut, all.length)};
+        }
+
+        private static Node part(Node[] kids, byte[][] keys, int from, int to) {
+            return to - from == 1 ? kids[from] : new Inner(Arrays.copyOfRange(kids, from, to),
+                    Arrays.copyOfRange(keys, from, to));
+        }
+
+        @Override
+        Node remove(byte[] key) {
+            int at = kid(key);
+            Node fresh = kids[at].remove(key);
+            if (fresh == kids[at]) {
+                return this;
+            }
+            if (fresh == null) {
+                return kids.length == 1 ? null : without(at);
+            }
+            Node[] all = kids.clone();
+            all[at] = fresh;
+            for (int beside : new int[] {at - 1, at + 1}) {
+                Node joined = beside < 0 || beside >= kids.length ? null
+                        : join(all, borders, Math.min(at, beside));
+                if (joined != null) {
+                    all[Math.min(at, beside)] = joined;
+                    return new Inner(all, borders).without(Math.max(at, beside));
+                }
+            }
+            return new Inner(all, borders);
+        }
+
+        /** Two neighbours as one, if the one has become small and the other has room; else null. */
+        private static Node join(Node[] kids, byte[][] keys, int left) {
+            Node a = kids[left];
+            Node b = kids[left + 1];
+            if (a instanceof Leaf x && b instanceof Leaf y) {
+                int length = x.data.length + y.data.length;
+                if (Math.min(x.data.length, y.data.length) > MOST_LEAF / FEW || length > MOST_LEAF) {
+                    return null;
+                }
+                byte[] packed = Arrays.copyOf(x.data, length);
+                System.arraycopy(y.data, 0, packed, x.data.length, y.data.length);
+                return new Leaf(packed, x.count + y.count, x.sum + y.sum, Math.max(x.newest, y.newest));
+            }
+            if (a instanceof Inner x && b instanceof Inner y
+                    && Math.min(x.kids.length, y.kids.length) <= MOST_KIDS / FEW
+                    && x.kids.length + y.kids.length <= MOST_KIDS) {
+                Node[] all = Arrays.copyOf(x.kids, x.kids.length + y.kids.length);
+                System.arraycopy(y.kids, 0, all, x.kids.length, y.kids.length);
+                byte[][] borders = Arrays.copyOf(x.borders, all.length);
+                System.arraycopy(y.borders, 0, borders, x.kids.length, y.kids.length);
+                borders[x.kids.length] = keys[left + 1];
+                return new Inner(all, borders);
+            }
+            return null;
+        }
+
+        private Node without(int at) {
+            Node[] all = new Node[kids.length - 1];
+            byte[][] keys = new byte[all.length][];
+            System.arraycopy(kids, 0, all, 0, at);
+            System.arraycopy(kids, at + 1, all, at, all.length - at);
+            System.arraycopy(borders, 0, keys, 0, at);
+            System.arraycopy(borders, at + 1, keys, at, all.length - at);
+            return all.length == 1 ? all[0] : new Inner(all, keys);
+        }
+
+        @Override
+        Item get(byte[] key) {
+            return kids[kid(key)].get(key);
+        }
+
+        @Override
+        Item next(byte[] from, long over) {
+            for (int i = from == null ? 0 : kid(from); i < kids.length; i++) {
+                if (kids[i].newest > over) {
+                    Item found = kids[i].next(from, over);
+                    if (found != null) {
+                        return found;
+                    }
+                }
+            }
+            return null;
+        }
+
+        @Override
+        Item at(long index) {
+            long left = index;
+            int i = 0;
+            while (left >= kids[i].count) {
+                left -= kids[i++].count;
+            }
+            return kids[i].at(left);
+        }
+
+        @Override
+        byte[] first() {
+            return kids[0].first();
+        }
+
+        @Override
+        void sum(byte[] from, byte[] to, long[] into) {
+            int first = from == null ? 0 : kid(from);
+            int last = to == null ? kids.length - 1 : kid(to);
+            for (int i = first; i <= last; i++) {
+                boolean cutLeft = from != null && i == first;
+                boolean cutRight = to != null && i == last;
+                if (cutLeft || cutRight) {
+                    kids[i].sum(cutLeft ? from : null, cutRight ? to : null, into);
+                } else {
+                    into[0] += kids[i].count;
+                    into[1] += kids[i].sum;
+                }
+            }
+        }
+
+        @Override
+        long bytes() {
+            long bytes = FIELDS + 2 * aligned(HEADER + (long) REFERENCE * kids.length);
+            for (int i = 0; i < kids.length; i++) {
+                bytes += aligned(HEADER + borders[i].length) + kids[i].bytes();
+            }
+            return bytes;
+        }
+    }
+
+    /** Reads the entries of a leaf one after the other. */
+    private static final class Reader {
+        private final byte[] data;
+        private int at;
+        private long stamp;
+
+        Reader(byte[] data, int at) {
+            this.data = data;
+            this.at = at;
+        }
+
+        private long number() {
+            long number = 0;
+            for (int shift = 0;; shift += 7) {
+                byte b = data[at++];
+                number |= (long) (b & 0x7F) << shift;
+                if (b >= 0) {
+                    return number;
+                }
+            }
+        }
+
+        /** The next key against this one; the place stays. */
+        int compareKey(byte[] key) {
+            int before = at;
+            int length = (int) number();
+            int order = Arrays.compareUnsigned(data, at, at + length, key, 0, key.length);
+            at = before;
+            return order;
+        }
+
+        void skip() {
+            int length = (int) number();
+            at += length;
+            stamp = number();
+            length = (int) number();
+            at += length;
+        }
+
+        /** The hash of the entry from there to here. */
+        long hash(int from) {
+            return PackedTree.hash(data, from, at);
+        }
+
+        Item item() {
+            int length = (int) number();
+            byte[] key = Arrays.copyOfRange(data, at, at + length);
+            at += length;
+            stamp = number();
+            length = (int) number();
+            byte[] value = Arrays.copyOfRange(data, at, at + length);
+            at += length;
+            return new Item(key, value, stamp);
+        }
+    }
+
+    /** Writes an entry: its key's length and bytes, its stamp, its value's length and bytes. */
+    private static final class Writer {
+        private Writer() { }
+
+        static int length(byte[] key, byte[] value, long stamp) {
+            return size(key.length) + key.length + size(stamp) + size(value.length) + value.length;
+        }
+
+        private static int size(long number) {
+            return (Long.SIZE - Long.numberOfLeadingZeros(number | 1) + 6) / 7;
+        }
+
+        static int write(byte[] into, int from, byte[] key, byte[] value, long stamp) {
+            int at = number(into, from, key.length);
+            System.arraycopy(key, 0, into, at, key.length);
+            at = number(into, at + key.length, stamp);
+            at = number(into, at, value.length);
+            System.arraycopy(value, 0, into, at, value.length);
+            return at + value.length;
+        }
+
+        private static int number(byte[] into, int from, long number) {
+            int at = from;
+            long left = number;
+            while (left > 0x7F) {
+                into[at++] = (byte) (left & 0x7F | 0x80);
+                left >>>= 7;
+            }
+            into[at++] = (byte) left;
+            return at;
+        }
+    }
+
+    private PackedTree(Node root) {
+        this.root = root;
+    }
+
+    private static long aligned(long bytes) {
+        return (bytes + WORD - 1) / WORD * WORD;
+    }
+
+    /** What an entry adds to the sum: FNV-1a over its packed bytes, finished as MurmurHash3 does. */
+    static long hash(byte[] key, byte[] value, long stamp) {
+        byte[] packed = new byte[Writer.length(key, value, stamp)];
+        return hash(packed, 0, Writer.write(packed, 0, key, value, stamp));
+    }
+
+    private static long hash(byte[] data, int from, int to) {
+        long hash = 0xcbf29ce484222325L;
+        for (int i = from; i < to; i++) {
+            hash = (hash ^ data[i] & 0xFF) * 0x100000001b3L;
+        }
+        hash = (hash ^ hash >>> 33) * 0xff51afd7ed558ccdL;
+        hash = (hash ^ hash >>> 33) * 0xc4ceb9fe1a85ec53L;
+        return hash ^ hash >>> 33;
+    }
+
+    /** What an entry adds to a sum. */
+    public static long hash(Item item) {
+        return hash(item.key(), item.value(), item.stamp());
+    }
+
+    /** With this entry, in place of one that has the key. */
+    public PackedTree put(byte[] key, byte[] value, long stamp) {
+        if (stamp < 0) {
+            throw new IllegalArgumentException("a stamp of " + stamp);
+        }
+        Node[] nodes = root.put(key, value, stamp);
+        return new PackedTree(nodes.length == 1 ? nodes[0]
+                : new Inner(nodes, new byte[][] {new byte[0], nodes[1].first()}));
+    }
+
+    /** Without this key; itself if it is not there. */
+    public PackedTree remove(byte[] key) {
+        Node node = root.remove(key);
+        return node == root ? this : node == null ? EMPTY : new PackedTree(node);
+    }
+
+    /** The entry of a key, or null. */
+    public Item get(byte[] key) {
+        return root.get(key);
+    }
+
+    /** The first entry whose key is this or comes after it, or null. */
+    public Item ceiling(byte[] key) {
+        return root.next(key, -1);
+    }
+
+    /** The first entry whose key is this or comes after it and whose stamp is over that, or null. */
+    public Item nextOver(byte[] key, long stamp) {
+        return root.newest > stamp ? root.next(key, stamp) : null;
+    }
+
+    /** The entry that so many come before, from 0. */
+    public Item at(long index) {
+        if (index < 0 || index >= root.count) {
+            throw new IndexOutOfBoundsException(index + " of " + root.count);
+        }
+        return root.at(index);
+    }
+
+    /** The entries from one key (null for the first) to before another (null for no end), so many at most. */
+    public List<Item> range(byte[] from, byte[] to, int most) {
+        List<Item> items = new ArrayList<>();
+        Item item = root.next(from, -1);
+        while (item != null && items.size() < most
+                && (to == null || Arrays.compareUnsigned(item.key(), to) < 0)) {
+            items.add(item);
+            item = root.next(after(item.key()), -1);
+        }
+        return items;
+    }
+
+    /** The least key that comes after this one. */
+    public static byte[] after(byte[] key) {
+        return Arrays.copyOf(key, key.length + 1);
+    }
+
+    /** What the entries from one key (null for the first) to before another (null for no end) come to. */
+    public Sum sum(byte[] from, byte[] to) {
+        long[] into = new long[2];
+        if (from == null || to == null || Arrays.compareUnsigned(from, to) < 0) {
+            root.sum(from, to, into);
+        }
+        return new Sum(into[0], into[1]);
+    }
+
+    /** What all come to. */
+    public Sum sum() {
+        return new Sum(root.count, root.sum);
+    }
+
+    /** How many entries there are. */
+    public long size() {
+        return root.count;
+    }
+
+    /** No stamp is over this. */
+    public long newest() {
+        return root.newest;
+    }
+
+    /** Bytes that it keeps on a heap of references of four bytes, by counting its arrays and objects. */
+    public long retainedBytes() {
+        return HEADER + root.bytes();
+    }
+}
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -78,6 +78,13 @@
             .that().resideInAPackage("vetchpost.routes").should().dependOnClassesThat()
             .resideInAnyPackage("java.io..", "java.nio..", "io.netty..", "org.tomlj..");
 
+    /** Entries, versions and their sums know neither what they mean nor how they travel. */
+    @ArchTest
+    static final ArchRule THE_STORE_STANDS_ALONE = classes().that().resideInAPackage("vetchpost.store")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("java.lang..", "java.util",
+                    "java.util.stream", "java.nio",
+                    "java.nio.charset", "vetchpost.store");
+
     /** What is believed of old knowledge is decided without a clock, a disk or a socket. */
     @ArchTest
     static final ArchRule STATE_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
