Make nothing for a route's lines that say the same

A reload of 55,000 routes made a text for each of its tables; now a hash is taken of the lines as they are read, and a text is made of a table that is new.

--- a/src/main/java/vetchpost/routes/file/BlockReader.java
+++ b/src/main/java/vetchpost/routes/file/BlockReader.java
@@ -30,8 +30,9 @@
          *
          * @param name of the class or tenant, or empty
          * @param line of its header, from 1
+         * @param text no longer its own once the call is over
          */
-        void block(Kind kind, String name, int line, String text) throws Whole;
+        void block(Kind kind, String name, int line, CharSequence text) throws Whole;
     }
 
     private static final int MOST_BLOCK = 1 << 20;
@@ -239,7 +240,7 @@
 
     private void flush() throws Whole {
         if (kind != null) {
-            sink.block(kind, name, from, block.toString());
+            sink.block(kind, name, from, block);
         }
         block.setLength(0);
     }
--- a/src/main/java/vetchpost/routes/file/FileIndex.java
+++ b/src/main/java/vetchpost/routes/file/FileIndex.java
@@ -61,7 +61,7 @@
         void route(Section section);
     }
 
-    private static byte[] hash(String text) {
+    private static byte[] hash(CharSequence text) {
         long second = text.length() * SECOND;
         for (int i = 0; i < text.length(); i++) {
             second = Long.rotateLeft(second ^ text.charAt(i), 7) * SECOND;
@@ -114,7 +114,7 @@
                 return;
             }
             sums[1] = sums[1] * SECOND + HashSet64.hash(text);
-            RouteFile one = RouteFile.block(name, kind, text, line);
+            RouteFile one = RouteFile.block(name, kind, text.toString(), line);
             bad[0] |= !one.violations().isEmpty();
             one.violations().forEach(violations);
             others.addAll(one.sections());
@@ -130,7 +130,7 @@
                 return;
             }
             sums[2] += HashSet64.hash(text);
-            RouteFile one = RouteFile.block(name, kind, text, line);
+            RouteFile one = RouteFile.block(name, kind, text.toString(), line);
             one.violations().forEach(violations);
             for (Section section : one.sections()) {
                 if (!bad[0]) {
@@ -170,11 +170,11 @@
                 }
                 byte[] hash = hash(text);
                 odd[0] |= !seen.add(ByteBuffer.wrap(hash).getLong());
-                if (routes.get(hash) != null) {
+                if (routes.contains(hash)) {
                     known[0]++;
                     return;
                 }
-                RouteFile one = RouteFile.block(file.toString(), kind, text, line);
+                RouteFile one = RouteFile.block(file.toString(), kind, text.toString(), line);
                 violations.addAll(one.violations());
                 for (Section section : one.sections()) {
                     fresh.add(section);
--- a/src/main/java/vetchpost/store/PackedTree.java
+++ b/src/main/java/vetchpost/store/PackedTree.java
@@ -62,6 +62,8 @@
 
         abstract Item get(byte[] key);
 
+        abstract boolean contains(byte[] key);
+
         /** The first entry whose key is not before this, and whose stamp is over that; null for none. */
         abstract Item next(byte[] from, long over);
 
@@ -193,6 +195,17 @@
             return null;
         }
 
+        @Override
+        boolean contains(byte[] key) {
+            Reader reader = new Reader(data, 0);
+            int order = -1;
+            while (order < 0 && reader.at < data.length) {
+                order = reader.compareKey(key);
+                reader.skip();
+            }
+            return order == 0;
+        }
+
         @Override
         Item next(byte[] from, long over) {
             Reader reader = new Reader(data, 0);
@@ -367,6 +380,11 @@
             return kids[kid(key)].get(key);
         }
 
+        @Override
+        boolean contains(byte[] key) {
+            return kids[kid(key)].contains(key);
+        }
+
         @Override
         Item next(byte[] from, long over) {
             for (int i = from == null ? 0 : kid(from); i < kids.length; i++) {
@@ -560,6 +578,11 @@
         return root.get(key);
     }
 
+    /** Whether there is such a key; makes nothing. */
+    public boolean contains(byte[] key) {
+        return root.contains(key);
+    }
+
     /** The first entry whose key is this or comes after it, or null. */
     public Item ceiling(byte[] key) {
         return root.next(key, -1);
--- a/src/test/java/vetchpost/store/PackedTreeTest.java
+++ b/src/test/java/vetchpost/store/PackedTreeTest.java
@@ -68,6 +68,7 @@
             } else {
                 PackedTree before = tree;
                 tree = tree.remove(bytes(key));
+                assertEquals(map.containsKey(key), before.contains(bytes(key)), key);
                 assertEquals(map.remove(key) == null, tree == before, key);
             }
             if (step % 500 == 0) {
