Have changes of a configuration travel from control machines to nodes by version

How a change reached nodes was a file on each machine and a signal. Now entries have the version of their last change; a publisher tells a replica all that is newer than what it is at, from the persistent store itself, so that no log is kept and many changes of a key are told as one; a replica puts that together beside what is in force and exchanges one reference once it comes to the sum that was told. Where it is not known any more what went away, or sums differ, ranges are compared. No I/O in any of it, nothing of it is used by the node yet.

--- /dev/null
+++ b/src/main/java/vetchpost/changes/Catalog.java
@@ -0,0 +1,323 @@
+package vetchpost.changes;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.replication.Index;
+import vetchpost.routes.Position;
+import vetchpost.routes.Proof;
+import vetchpost.routes.Prover;
+import vetchpost.routes.Prover.RouteChange;
+import vetchpost.routes.RouteCodec;
+import vetchpost.routes.RouteTable;
+import vetchpost.routes.Section;
+import vetchpost.routes.Violation;
+import vetchpost.routes.Violation.Rule;
+import vetchpost.store.Change;
+import vetchpost.store.Change.Op;
+import vetchpost.store.Fields;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.PackedTree;
+import vetchpost.store.PackedTree.Item;
+import vetchpost.store.VersionedStore;
+
+/**
+ * A configuration at one version: its entries, the routes that requests are looked up in, and which of them
+ * are a tenant's. It never changes. A batch is proved by what it can break: each route with those of its
+ * name, match and tenant; all routes where defaults or a class change.
+ */
+public final class Catalog implements Index {
+    private static final byte[] NOTHING = new byte[0];
+    private static final byte[] TENANTS = new Key(Kind.TENANT, "").bytes();
+    private static final double MOST_SHARE = 1e9;
+    private static final int MOST_BATCH = 10_000;
+
+    private final Settings settings;
+    private final VersionedStore store;
+    private final RouteTable routes;
+    /** Of routes that are one tenant's: the tenant's name, a byte of 0, the route's. */
+    private final PackedTree byTenant;
+    /** While entries are taken in one by one: whether what holds for classes is among them. */
+    private final boolean limitsChanged;
+
+    /**
+     * What a batch comes to.
+     *
+     * @param catalog null if there is any violation
+     */
+    public record Outcome(Catalog catalog, List<Violation> violations) { }
+
+    private Catalog(Settings settings, VersionedStore store, RouteTable routes, PackedTree byTenant,
+            boolean limitsChanged) {
+        this.limitsChanged = limitsChanged;
+        this.settings = settings;
+        this.store = store;
+        this.routes = routes;
+        this.byTenant = byTenant;
+    }
+
+    /**
+     * Nothing, for requests of these classes.
+     *
+     * @param settings its tenants are those that requests can have; those that routes may name are entries
+     */
+    public static Catalog empty(Settings settings) {
+        return new Catalog(settings, VersionedStore.EMPTY, Prover.proveAlone(List.of(), settings).table(),
+                PackedTree.EMPTY, false);
+    }
+
+    /** The entries, with their versions. */
+    public VersionedStore store() {
+        return store;
+    }
+
+    /** The same entries with their own versions, as somebody has kept them, for a writer to go on from. */
+    public Catalog at(VersionedStore kept) {
+        return new Catalog(settings, kept, routes.over(kept.live()), byTenant, false);
+    }
+
+    /** Where requests' routes are found. */
+    public RouteTable routes() {
+        return routes;
+    }
+
+    /** Bytes that it keeps beside the entries. */
+    public long indexBytes() {
+        return routes.indexBytes() + byTenant.retainedBytes();
+    }
+
+    // ---------------------------------------------------------------- a batch that is proved
+
+    /**
+     * The batch at that version, or all that it would break; of several changes of one key the last counts.
+     */
+    public Outcome prove(List<Change> batch, long version) {
+        List<Violation> violations = new ArrayList<>();
+        Map<Key, Change> last = new LinkedHashMap<>();
+        if (batch.size() > MOST_BATCH) {
+            violations.add(new Violation(at(MOST_BATCH), "batch", Rule.OUT_OF_RANGE,
+                    batch.size() + " changes",
+                    MOST_BATCH + " or fewer"));
+            return new Outcome(null, violations);
+        }
+        for (int i = 0; i < batch.size(); i++) {
+            Change change = batch.get(i);
+            boolean there = last.containsKey(change.key()) ? last.get(change.key()).value() != null
+                    : store.get(change.key()) != null;
+            if (there != (change.op() != Op.PUT)) {
+                violations.add(new Violation(at(i), change.key().toString(), there ? Rule.SAME_NAME
+                        : Rule.UNKNOWN_ENTRY, there ? "it is there already" : "it is not there",
+                        there ? "a replace" : "a put"));
+            }
+            last.remove(change.key());
+            last.put(change.key(), change);
+        }
+        if (!violations.isEmpty()) {
+            return new Outcome(null, violations);
+        }
+        List<Change> changes = List.copyOf(last.values());
+        VersionedStore after = store.with(changes, version);
+        Proof proof = proof(changes, after, version, violations);
+        PackedTree owned = byTenant;
+        for (int i = 0; i < changes.size(); i++) {
+            Change change = changes.get(i);
+            switch (change.key().kind()) {
+                case TENANT -> tenant(change, at(i), violations);
+                case SERVICE -> service(change, at(i), violations);
+                case ROUTE -> owned = owned(owned, change.key().bytes(), change.value());
+                default -> { }
+            }
+        }
+        for (int i = 0; i < changes.size(); i++) {
+            Change change = changes.get(i);
+            if (change.key().kind() == Kind.TENANT && change.value() == null) {
+                unowned(owned, change.key().name(), at(i), violations);
+            }
+        }
+        violations.addAll(proof.violations());
+        return violations.isEmpty() ? new Outcome(new Catalog(settings, after,
+                proof.table().over(after.live()), owned, false),
+                violations) : new Outcome(null, violations);
+    }
+
+    /** Where a change stands in its batch, as messages have it. */
+    private static Position at(int change) {
+        return new Position("batch", change + 1, 1);
+    }
+
+    private Proof proof(List<Change> changes, VersionedStore after, long version,
+            List<Violation> violations) {
+        Prover.Tenants tenants = new Prover.Tenants() {
+            @Override
+            public boolean has(String name) {
+                return after.get(new Key(Kind.TENANT, name)) != null;
+            }
+
+            @Override
+            public Iterable<String> all() {
+                return () -> after.live().range(TENANTS, null,
+                        1_001).stream().filter(i -> i.key()[0] == TENANTS[0])
+                        .map(i -> Key.of(i.key()).name()).iterator();
+            }
+        };
+        if (changes.stream().anyMatch(c -> c.key().kind() == Kind.LIMITS)) {
+            return whole(after, version, tenants, violations);
+        }
+        List<RouteChange> ofRoutes = new ArrayList<>();
+        for (int i = 0; i < changes.size(); i++) {
+            Change change = changes.get(i);
+            if (change.key().kind() == Kind.ROUTE) {
+                Section section = null;
+                try {
+                    section = change.value() == null ? null : named(change.key().name(),
+                            RouteCodec.section(change.value(), at(i)));
+                } catch (IllegalArgumentException e) {
+                    violations.add(new Violation(at(i), change.key().toString(), Rule.SYNTAX, e.getMessage(),
+                            ""));
+                }
+                if (section != null || change.value() == null) {
+                    // Whether it was there has been looked at, whatever came of it within the batch.
+                    ofRoutes.add(new RouteChange(store.get(change.key()) == null
+                            ? Op.PUT : change.op() == Op.PUT
+                            ? Op.REPLACE : change.op(), change.key().name(), section, at(i)));
+                }
+            }
+        }
+        ofRoutes.removeIf(c -> c.section() == null && store.get(new Key(Kind.ROUTE, c.name())) == null);
+        return Prover.change(routes, ofRoutes, version, tenants);
+    }
+
+    /** A route's own name is its entry's, and is not kept twice; where it has none it is its path. */
+    private static Section named(String name, Section route) {
+        if (name.equals(RouteCodec.nameOf(route))) {
+            return route;
+        }
+        throw new IllegalArgumentException("the entry of route " + name + " has the name "
+                + RouteCodec.nameOf(route));
+    }
+
+    /** Defaults or a class have changed: all routes are proved by them. */
+    private Proof whole(VersionedStore after, long version, Prover.Tenants tenants,
+            List<Violation> violations) {
+        List<Section> others = limits(after.live(), violations);
+        Prover prover = Prover.begin(others, settings, true, routes, version, tenants);
+        byte[] first = new Key(Kind.ROUTE, "").bytes();
+        for (Item route = after.live().ceiling(first); route != null && route.key()[0] == first[0];
+                route = after.live().ceiling(PackedTree.after(route.key()))) {
+            String name = Key.of(route.key()).name();
+            Position at = new Position("route " + name, 1, 1);
+            try {
+                prover.add(named(name, RouteCodec.section(route.value(), at)));
+            } catch (IllegalArgumentException e) {
+                violations.add(new Violation(at, "route " + name, Rule.SYNTAX, e.getMessage(), ""));
+            }
+        }
+        return prover.end();
+    }
+
+    private static void tenant(Change change, Position at, List<Violation> violations) {
+        if (change.value() == null) {
+            return;
+        }
+        try {
+            Fields.read(change.value(), (number, value) -> {
+                if (number != 0 || !(value instanceof Double share) || !(share >= 0 && share <= MOST_SHARE)) {
+                    throw new IllegalArgumentException("field " + number + " = " + value);
+                }
+            });
+        } catch (IllegalArgumentException e) {
+            violations.add(new Violation(at, change.key().toString(), Rule.OUT_OF_RANGE, e.getMessage(),
+                    "a share from 0 to " + MOST_SHARE));
+        }
+    }
+
+    private static void service(Change change, Position at, List<Violation> violations) {
+        try {
+            if (change.value() != null) {
+                Fields.read(change.value(), (number, value) -> { });
+            }
+        } catch (IllegalArgumentException e) {
+            violations.add(new Violation(at, change.key().toString(), Rule.SYNTAX, e.getMessage(), ""));
+        }
+    }
+
+    private static void unowned(PackedTree owned, String tenant, Position at, List<Violation> violations) {
+        byte[] prefix = ownedKey(tenant, NOTHING);
+        Item item = owned.ceiling(prefix);
+        if (item != null && Arrays.equals(prefix, 0, prefix.length, item.key(), 0, Math.min(prefix.length,
+                item.key().length))) {
+            violations.add(new Violation(at, "tenant " + tenant, Rule.UNKNOWN_TENANT, "route "
+                    + Fields.text(Arrays.copyOfRange(item.key(), prefix.length,
+                            item.key().length)) + " is its",
+                    "without that route"));
+        }
+    }
+
+    private static byte[] ownedKey(String tenant, byte[] route) {
+        byte[] name = Fields.utf8(tenant);
+        byte[] key = Arrays.copyOf(name, name.length + 1 + route.length);
+        System.arraycopy(route, 0, key, name.length + 1, route.length);
+        return key;
+    }
+
+    private PackedTree owned(PackedTree before, byte[] key, byte[] value) {
+        PackedTree after = before;
+        byte[] name = Arrays.copyOfRange(key, 1, key.length);
+        Item old = routes.entries().get(key);
+        String was = old == null ? null : RouteCodec.tenantOf(old.value());
+        if (was != null) {
+            after = after.remove(ownedKey(was, name));
+        }
+        String is = value == null ? null : RouteCodec.tenantOf(value);
+        return is == null ? after : after.put(ownedKey(is, name), NOTHING, 0);
+    }
+
+    // ---------------------------------------------------------------- what was proved elsewhere
+
+    @Override
+    public Catalog settled(byte[] key, byte[] value, long stamp) {
+        Key of = Key.of(key);
+        if (of.kind() == Kind.LIMITS) {
+            return new Catalog(settings, store, routes, byTenant, true);
+        }
+        if (of.kind() != Kind.ROUTE) {
+            return this;
+        }
+        return new Catalog(settings, store, routes.settled(of.name(), value, stamp), owned(byTenant, key,
+                value),
+                limitsChanged);
+    }
+
+    @Override
+    public Catalog over(PackedTree live) {
+        RouteTable table = routes.over(live);
+        return new Catalog(settings, VersionedStore.of(live, live.newest()), limitsChanged
+                ? Prover.by(table, limits(live, null)) : table, byTenant, false);
+    }
+
+    /** What holds for all and for classes. */
+    private static List<Section> limits(PackedTree live, List<Violation> violations) {
+        List<Section> sections = new ArrayList<>();
+        for (Item item : live.range(new Key(Kind.LIMITS, "").bytes(), new Key(Kind.SERVICE, "").bytes(),
+                Integer.MAX_VALUE)) {
+            Key key = Key.of(item.key());
+            Position at = new Position(key.toString(), 1, 1);
+            try {
+                sections.add(new Section(key.name().isEmpty() ? Section.Kind.DEFAULTS : Section.Kind.CLASS,
+                        key.name(),
+                        at, RouteCodec.section(item.value(), at).entries()));
+            } catch (IllegalArgumentException e) {
+                if (violations == null) {
+                    throw e;
+                }
+                violations.add(new Violation(at, key.toString(), Rule.SYNTAX, e.getMessage(), ""));
+            }
+        }
+        return sections;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/replication/Choice.java
@@ -0,0 +1,86 @@
+package vetchpost.replication;
+
+import java.util.List;
+import java.util.function.Predicate;
+
+/**
+ * Which publisher a replica asks: each has an order of its own (rendezvous hashing), so that the replicas of
+ * one that fails are spread over all others, and come back to it once it is well. One that fails, or is of no
+ * use, is left alone for a while, longer each time.
+ */
+public final class Choice {
+    private static final long LEAST_US = 100_000;
+    private static final long MOST_US = 5_000_000;
+
+    private final long[] rank;
+    private final long[] untilUs;
+    private final int[] failures;
+    private final long seed;
+
+    /**
+     * Among these.
+     *
+     * @param name of the replica
+     * @param publishers names or addresses, the same at all replicas, in any order
+     */
+    public Choice(String name, List<String> publishers) {
+        this(name, publishers, publisher -> false);
+    }
+
+    /** The same, where those that are near come before all others. */
+    public Choice(String name, List<String> publishers, Predicate<String> near) {
+        if (publishers.isEmpty()) {
+            throw new IllegalArgumentException("no publishers");
+        }
+        seed = mix(name.hashCode());
+        rank = publishers.stream().mapToLong(p -> mix(seed ^ mix(p.hashCode())) >>> 2 | (near.test(p)
+                ? 1L << 62 : 0))
+                .toArray();
+        untilUs = new long[rank.length];
+        failures = new int[rank.length];
+    }
+
+    private static long mix(long of) {
+        long hash = of + 0x9E3779B97F4A7C15L;
+        hash = (hash ^ hash >>> 30) * 0xBF58476D1CE4E5B9L;
+        hash = (hash ^ hash >>> 27) * 0x94D049BB133111EBL;
+        return hash ^ hash >>> 31;
+    }
+
+    /** The one to ask now; the one that may be asked soonest if none may. */
+    public int next(long nowUs) {
+        int best = 0;
+        for (int i = 1; i < rank.length; i++) {
+            boolean may = untilUs[i] <= nowUs;
+            boolean mayBest = untilUs[best] <= nowUs;
+            if (may != mayBest ? may : may ? rank[i] > rank[best] : untilUs[i] < untilUs[best]) {
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    /** When that one may be asked, in microseconds. */
+    public long whenUs(int publisher) {
+        return untilUs[publisher];
+    }
+
+    /** It could not be reached, broke off, or was of no use. */
+    public void failed(int publisher, long nowUs) {
+        long waitUs = Math.min(MOST_US, LEAST_US << Math.min(10, failures[publisher]++));
+        // Between half of it and all, by its own draw: many that fail at once don't come back at once.
+        long share = mix(seed + 31L * publisher + failures[publisher]) >>> 1;
+        untilUs[publisher] = nowUs + waitUs / 2 + share % (waitUs / 2);
+    }
+
+    /** It has told that what the replica has is the newest. */
+    public void worked(int publisher) {
+        failures[publisher] = 0;
+        untilUs[publisher] = 0;
+    }
+
+    /** Whether one that comes before it could be asked again. */
+    public boolean hasBetter(int publisher, long nowUs) {
+        return next(nowUs) != publisher && untilUs[next(nowUs)] <= nowUs;
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/replication/Index.java
@@ -0,0 +1,34 @@
+package vetchpost.replication;
+
+import vetchpost.store.PackedTree;
+
+/**
+ * What a node makes of the entries, such as the table that its requests are looked up in. It never changes,
+ * as the entries don't: each change makes another one that shares what it can.
+ */
+public interface Index {
+    /** Of entries that mean nothing here. */
+    Index NONE = new Index() {
+        @Override
+        public Index settled(byte[] key, byte[] value, long stamp) {
+            return this;
+        }
+
+        @Override
+        public Index over(PackedTree live) {
+            return this;
+        }
+    };
+
+    /**
+     * With an entry as it is from then on; entries come in any order, and need not fit together before the
+     * last.
+     *
+     * @param value null if it went away
+     * @throws IllegalArgumentException if it can't be read
+     */
+    Index settled(byte[] key, byte[] value, long stamp);
+
+    /** The same, read from this tree, which holds the same entries, so that they are kept once. */
+    Index over(PackedTree live);
+}
--- /dev/null
+++ b/src/main/java/vetchpost/replication/Replica.java
@@ -0,0 +1,407 @@
+package vetchpost.replication;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import vetchpost.replication.Frame.Entry;
+import vetchpost.replication.Frame.Span;
+import vetchpost.replication.Frame.Type;
+import vetchpost.store.PackedTree;
+import vetchpost.store.PackedTree.Item;
+import vetchpost.store.PackedTree.Sum;
+import vetchpost.store.Version;
+import vetchpost.store.VersionedStore;
+
+/**
+ * A node's copy of the configuration, kept up with what a publisher tells. What comes is put together beside
+ * what is in force, which shares all that stays the same, and takes its place at once when it is whole and
+ * comes to the sum that was told: half a batch is never in force, and no key goes back to an older version.
+ * Where the sums differ, or it is not known any more what went away, ranges of keys are compared until what
+ * differs is found.
+ *
+ * <p>On one thread. It has no clock and no socket: whoever owns it tells it both.
+ */
+public class Replica {
+    /** Ranges that are compared in one message: its answer stays small. */
+    private static final int AT_ONCE = 16;
+    /** Publishers that say something else each time are left after so many comparisons. */
+    private static final int MOST_ROUNDS = 100_000;
+
+    /** Where frames go. */
+    public interface Publisher {
+        /** Sends to the publisher that it is connected to. */
+        void send(Frame frame);
+    }
+
+    /** Hears what holds. */
+    public interface Listener {
+        /** All of this holds from now on. */
+        void inForce(VersionedStore store, Index index);
+    }
+
+    /** Why a publisher is of no use, for now. */
+    public static final class Refused extends Exception {
+        private static final long serialVersionUID = 1;
+
+        Refused(String why) {
+            super(why, null, false, false);
+        }
+    }
+
+    private final String name;
+    private final Listener listener;
+    private final boolean remembersRemoved;
+    private VersionedStore store;
+    private Index index;
+    private Publisher publisher;
+    private Draft draft;
+    private long heardUs;
+    private long currentUs = -1;
+    private long batches;
+    private long refused;
+
+    /** What is put together beside what is in force. */
+    private final class Draft {
+        private final long to;
+        private PackedTree live = store.live();
+        private PackedTree removed = store.removed();
+        private Index made = index;
+        private int parts;
+        private Sum whole;
+        /** While ranges are compared: those still to be, and the hashes of items that were asked for. */
+        private final Deque<Span> spans = new ArrayDeque<>();
+        private final Set<Long> wanted = new HashSet<>();
+        private int rounds;
+        private boolean comparing;
+        private boolean waiting;
+
+        Draft(long to) {
+            this.to = to;
+        }
+
+        void take(Entry entry) throws Refused {
+            Item own = live.get(entry.key());
+            if (own != null && isOlder(entry.stamp(), own)) {
+                throw new Refused("an entry goes back from " + Version.text(own.stamp()) + " to "
+                        + Version.text(entry.stamp()));
+            }
+            if (entry.value() == null) {
+                live = live.remove(entry.key());
+                removed = remembersRemoved ? removed.put(entry.key(), new byte[0], entry.stamp()) : removed;
+            } else {
+                live = live.put(entry.key(), entry.value(), entry.stamp());
+                removed = remembersRemoved ? removed.remove(entry.key()) : removed;
+            }
+            try {
+                made = made.settled(entry.key(), entry.value(), entry.stamp());
+            } catch (IllegalArgumentException e) {
+                throw new Refused("an entry that can't be read: " + e.getMessage());
+            }
+        }
+    }
+
+    /**
+     * Begins with what was kept, at its version; not connected.
+     *
+     * @param name by which publishers know it, up to 256 bytes
+     * @param remembersRemoved whether others are to be told by it, and so what went away
+     */
+    public Replica(String name, VersionedStore store, Index index, boolean remembersRemoved,
+            Listener listener) {
+        this.name = name;
+        this.store = store;
+        this.index = index;
+        this.remembersRemoved = remembersRemoved;
+        this.listener = listener;
+    }
+
+    /** What is in force. */
+    public VersionedStore store() {
+        return store;
+    }
+
+    /** What the node makes of it. */
+    public Index index() {
+        return index;
+    }
+
+    /** How many times something came into force. */
+    public long batches() {
+        return batches;
+    }
+
+    /** How many times something a publisher told was refused. */
+    public long refused() {
+        return refused;
+    }
+
+    /**
+     * When a publisher last said that this is the newest, in microseconds of its owner's clock; -1 for never.
+     */
+    public long currentUs() {
+        return currentUs;
+    }
+
+    /** When it last heard anything from its publisher. */
+    public long heardUs() {
+        return heardUs;
+    }
+
+    /** Is connected to a publisher, a new one or the same again. */
+    public void connected(Publisher to, long nowUs) {
+        publisher = to;
+        draft = null;
+        heardUs = nowUs;
+        hello();
+    }
+
+    /** Is connected to none: what is in force stays so. */
+    public void disconnected() {
+        publisher = null;
+        draft = null;
+    }
+
+    private void hello() {
+        publisher.send(Frame.hello(name, store.version(), false, store.live().sum()));
+    }
+
+    /**
+     * Takes a frame.
+     *
+     * @throws Refused if the publisher is of no use now: another one is to be asked
+     * @throws Malformed if it said what no publisher says
+     */
+    public void take(Frame frame, long nowUs) throws Refused, Malformed {
+        heardUs = nowUs;
+        try {
+            switch (frame.type()) {
+                case CURRENT -> current(frame, nowUs);
+                case BEHIND -> throw new Refused("it is behind, at " + Version.text(frame.to()));
+                case DELTA -> delta(frame, nowUs);
+                case DIFFER -> differ(frame, nowUs);
+                case ITEMS -> items(frame, nowUs);
+                default -> throw new Malformed("a publisher sends no " + frame.type());
+            }
+        } catch (Refused | Malformed e) {
+            draft = null;
+            refused++;
+            throw e;
+        }
+    }
+
+    private void current(Frame frame, long nowUs) throws Refused {
+        if (isBehind(frame.to())) {
+            throw new Refused("it is behind, at " + Version.text(frame.to()));
+        }
+        if (draft != null && draft.comparing) {
+            return; // It is an answer to what was said before.
+        }
+        if (frame.to() > store.version()) {
+            // It has told all, and something of that has been lost.
+            draft = null;
+            hello();
+            return;
+        }
+        if (frame.sum().equals(store.live().sum())) {
+            currentUs = nowUs;
+        } else {
+            compare();
+        }
+    }
+
+    private void delta(Frame frame, long nowUs) throws Refused, Malformed {
+        if (isPast(frame.to()) && Version.epoch(frame.to()) < Version.epoch(store.version())) {
+            throw new Refused("it is of epoch " + Version.epoch(frame.to()) + ", before "
+                    + Version.epoch(store.version()));
+        }
+        if (draft != null && draft.comparing || isPast(frame.to())) {
+            return; // An answer to what was asked before, or the same again.
+        }
+        boolean begins = frame.part() == 0 && follows(frame);
+        boolean goesOn = !begins && draft != null && draft.to == frame.to() && draft.parts == frame.part()
+                && follows(frame);
+        if (!begins && !goesOn) {
+            // A part is missing: what there is of it is no use.
+            if (draft != null || frame.part() == 0) {
+                draft = null;
+                hello();
+            }
+            return;
+        }
+        draft = begins ? new Draft(frame.to()) : draft;
+        for (Entry entry : frame.items()) {
+            if (!belongs(entry, frame)) {
+                throw new Malformed("an entry of " + Version.text(entry.stamp()) + " in what came after "
+                        + Version.text(store.version()) + " up to " + Version.text(frame.to()));
+            }
+            draft.take(entry);
+        }
+        draft.parts++;
+        if (isWhole(frame)) {
+            force(nowUs);
+        } else if (frame.last()) {
+            draft = null;
+            compare();
+        }
+    }
+
+    /** Whether a version comes no later than what is in force, be it of an earlier writer's epoch. */
+    boolean isPast(long version) {
+        return version <= store.version();
+    }
+
+    /** Whether this is what came after what is in force. */
+    boolean follows(Frame frame) {
+        return frame.from() == store.version();
+    }
+
+    /** Whether an entry changed in between. */
+    boolean belongs(Entry entry, Frame frame) {
+        return entry.stamp() > store.version() && entry.stamp() <= frame.to();
+    }
+
+    /** Whether an entry of this version would set back the one that is there. */
+    boolean isOlder(long stamp, Item own) {
+        return own.stamp() > stamp;
+    }
+
+    /** Whether a publisher that is at this version is behind. */
+    boolean isBehind(long version) {
+        return version < store.version();
+    }
+
+    /** Whether all that was told is there. */
+    boolean isWhole(Frame frame) {
+        return frame.last() && draft.live.sum().equals(frame.sum());
+    }
+
+    private void force(long nowUs) {
+        VersionedStore whole = draft.comparing ? VersionedStore.of(draft.live, draft.to)
+                : store.at(draft.live, draft.removed, draft.to);
+        index = draft.made.over(whole.live());
+        store = whole;
+        draft = null;
+        batches++;
+        currentUs = nowUs;
+        listener.inForce(store, index);
+        publisher.send(Frame.hello(name, store.version(), true, store.live().sum()));
+    }
+
+    // ---------------------------------------------------------------- in doubt
+
+    private void compare() {
+        draft = new Draft(Version.NONE);
+        draft.comparing = true;
+        draft.waiting = true;
+        publisher.send(Frame.spans(Type.COMPARE, 0, store.live().sum(),
+                List.of(new Span(new byte[0], null, store.live().sum(), null))));
+    }
+
+    private void differ(Frame frame, long nowUs) throws Refused, Malformed {
+        if (isBehind(frame.to())) {
+            throw new Refused("it is behind, at " + Version.text(frame.to()));
+        }
+        if (draft == null || !draft.comparing) {
+            // It can't tell by versions what went away since: it begins by comparing, of itself.
+            draft = new Draft(frame.to());
+            draft.comparing = true;
+        } else if (draft.to != frame.to()) {
+            if (draft.to != Version.NONE) {
+                throw new Malformed("ranges of " + Version.text(frame.to()) + " instead of "
+                        + Version.text(draft.to));
+            }
+            draft = new Draft(frame.to());
+            draft.comparing = true;
+        }
+        if (++draft.rounds > MOST_ROUNDS) {
+            throw new Refused("it never ends telling what differs");
+        }
+        draft.waiting = false;
+        draft.whole = frame.sum();
+        List<Span> wants = new ArrayList<>();
+        for (Span span : frame.spans()) {
+            Sum own = draft.live.sum(span.from(), span.to());
+            if (own.equals(span.sum())) {
+                continue;
+            }
+            if (span.hashes() == null) {
+                draft.spans.add(new Span(span.from(), span.to(), own, null));
+            } else {
+                listed(span, wants);
+            }
+        }
+        if (!wants.isEmpty()) {
+            publisher.send(Frame.spans(Type.WANT, draft.to, draft.whole, wants));
+        }
+        goOn(nowUs);
+    }
+
+    /** What it has and is not there any more goes; what is there and it has not is asked for. */
+    private void listed(Span span, List<Span> wants) throws Refused {
+        Set<Long> there = new HashSet<>();
+        Arrays.stream(span.hashes()).forEach(there::add);
+        for (Item item : draft.live.range(span.from(), span.to(), Integer.MAX_VALUE)) {
+            if (!there.remove(PackedTree.hash(item))) {
+                // If it is there at another version, it comes with the items, and is held against this one's
+                // version.
+                gone(item);
+            }
+        }
+        if (!there.isEmpty()) {
+            draft.wanted.addAll(there);
+            wants.add(new Span(span.from(), span.to(), span.sum(),
+                    there.stream().mapToLong(Long::longValue).toArray()));
+        }
+    }
+
+    /** An item that the publisher has not. */
+    void gone(Item item) throws Refused {
+        if (item.stamp() > draft.to) {
+            throw new Refused("it does not know an entry of " + Version.text(item.stamp()));
+        }
+        draft.take(new Entry(item.key(), null, draft.to));
+    }
+
+    private void items(Frame frame, long nowUs) throws Refused, Malformed {
+        if (draft == null || !draft.comparing || frame.to() != draft.to) {
+            return;
+        }
+        for (Entry entry : frame.items()) {
+            if (entry.value() == null || entry.stamp() > draft.to
+                    || !draft.wanted.remove(PackedTree.hash(new Item(entry.key(), entry.value(),
+                            entry.stamp())))) {
+                throw new Malformed("an entry that was not asked for");
+            }
+            Item own = store.live().get(entry.key());
+            if (own != null && own.stamp() > entry.stamp()) {
+                throw new Refused("an entry goes back from " + Version.text(own.stamp()) + " to "
+                        + Version.text(entry.stamp()));
+            }
+            draft.take(entry);
+        }
+        goOn(nowUs);
+    }
+
+    private void goOn(long nowUs) {
+        if (draft.waiting || !draft.wanted.isEmpty()) {
+            return;
+        }
+        if (!draft.spans.isEmpty()) {
+            List<Span> next = new ArrayList<>();
+            while (next.size() < AT_ONCE && !draft.spans.isEmpty()) {
+                next.add(draft.spans.poll());
+            }
+            draft.waiting = true;
+            publisher.send(Frame.spans(Type.COMPARE, draft.to, draft.whole, next));
+        } else if (draft.live.sum().equals(draft.whole)) {
+            force(nowUs);
+        } else {
+            compare();
+        }
+    }
+}
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -80,6 +80,8 @@
     private final List<Violation> violations = new ArrayList<>();
     private final Map<String, RequestClass> classes = new LinkedHashMap<>();
     private final TenantNames tenants;
+    /** Those that routes may name; the settings' unless said otherwise. */
+    private Tenants known;
     private Map<Key, Figure> defaults = Map.of();
     private final Map<String, Map<Key, Figure>> byClass = new HashMap<>();
 
@@ -99,9 +101,19 @@
         this.checking = checking;
         this.alone = alone;
         this.tenants = tenants;
+        known = tenants;
         settings.classes.forEach(c -> classes.put(c.name(), c));
     }
 
+    /** Names of tenants. */
+    public interface Tenants {
+        /** Whether there is one of this name. */
+        boolean has(String name);
+
+        /** All names, or more than anybody would read. */
+        Iterable<String> all();
+    }
+
     private Prover(Settings settings, boolean checking, boolean alone) {
         this(settings, checking, alone, new TenantNames(settings.tenants));
     }
@@ -131,7 +143,16 @@
      */
     public static Prover begin(List<Section> others, Settings settings, boolean alone, RouteTable before,
             long version) {
-        Prover prover = new Prover(settings, true, alone);
+        return begin(others, settings, alone, before, version, null);
+    }
+
+    /** The same with other tenants than the settings'; null for those. */
+    public static Prover begin(List<Section> others, Settings settings, boolean alone, RouteTable before,
+            long version, Tenants tenants) {
+        Prover prover = before != null && before.rules().settings == settings
+                ? new Prover(settings, true, alone, before.rules().tenants) : new Prover(settings, true,
+                        alone);
+        prover.known = tenants == null ? prover.tenants : tenants;
         prover.before = before;
         prover.version = version;
         prover.general(others);
@@ -154,8 +175,24 @@
      * @return a table with all of them, or what they violate
      */
     public static Proof change(RouteTable base, List<RouteChange> changes, long version) {
+        return change(base, changes, version, base.rules().tenants);
+    }
+
+    /** The same routes, with what these tables say for all and for classes, which was proved elsewhere. */
+    public static RouteTable by(RouteTable table, List<Section> limits) {
+        Prover prover = table.rules().unchecked();
+        prover.defaults = Map.of();
+        prover.byClass.clear();
+        prover.before = table;
+        prover.general(limits);
+        return table.by(prover.table);
+    }
+
+    /** The same with other tenants than the settings'. */
+    public static Proof change(RouteTable base, List<RouteChange> changes, long version, Tenants tenants) {
         Prover rules = base.rules();
         Prover prover = new Prover(rules.settings, true, rules.alone, rules.tenants);
+        prover.known = tenants;
         prover.defaults = rules.defaults;
         prover.byClass.putAll(rules.byClass);
         prover.table = base;
@@ -164,7 +201,7 @@
         for (RouteChange change : changes) {
             boolean there = base.isNamed(change.name());
             if (change.op() != Change.Op.PUT && !there) {
-                prover.violated(change.at(), "route " + change.name(), Rule.UNKNOWN_ROUTE,
+                prover.violated(change.at(), "route " + change.name(), Rule.UNKNOWN_ENTRY,
                         "there is no route of this name", "a put");
             } else if (change.op() != Change.Op.PUT) {
                 prover.table = prover.table.without(change.name());
@@ -473,9 +510,9 @@
         if (tenant == null) {
             return "";
         }
-        if (tenants.of(tenant) < 0) {
+        if (!known.has(tenant)) {
             violated(at(section, Key.TENANT, Key.TENANT), label, Rule.UNKNOWN_TENANT, "there is no tenant '"
-                    + tenant + "'", Near.of(tenant, tenants.all()));
+                    + tenant + "'", Near.of(tenant, known.all()));
             return null;
         }
         return tenant;
--- a/src/main/java/vetchpost/routes/RouteCodec.java
+++ b/src/main/java/vetchpost/routes/RouteCodec.java
@@ -48,6 +48,17 @@
         return packer.bytes();
     }
 
+    /** The tenant that a route's bytes name, or null. */
+    public static String tenantOf(byte[] route) {
+        String[] found = new String[1];
+        Fields.read(route, (number, value) -> {
+            if (number == Key.TENANT.ordinal() && value instanceof String name) {
+                found[0] = name;
+            }
+        });
+        return found[0];
+    }
+
     /**
      * A route from its bytes.
      *
--- a/src/main/java/vetchpost/routes/RouteTable.java
+++ b/src/main/java/vetchpost/routes/RouteTable.java
@@ -67,9 +67,9 @@
         this.routes = routes;
     }
 
-    /** With what holds for classes and for all otherwise, and the same routes. */
-    RouteTable by(Prover other, Map<String, Route> ofClasses) {
-        return new RouteTable(other, alone, ofClasses, entries, matches, counts, routes);
+    /** The same routes, with what holds for classes and for all in the other one. */
+    RouteTable by(RouteTable other) {
+        return new RouteTable(other.rules, alone, other.otherwise, entries, matches, counts, routes);
     }
 
     /**
@@ -102,6 +102,11 @@
         return routes;
     }
 
+    /** What the places come to by which its routes are found. */
+    public PackedTree.Sum matchSum() {
+        return matches.sum();
+    }
+
     /** Bytes that it keeps beside its entries. */
     public long indexBytes() {
         return matches.retainedBytes();
--- a/src/main/java/vetchpost/routes/TenantNames.java
+++ b/src/main/java/vetchpost/routes/TenantNames.java
@@ -8,7 +8,7 @@
 import vetchpost.decision.Balancer.Tenant;
 
 /** Finds tenants by name among any number, for four bytes each. */
-final class TenantNames {
+final class TenantNames implements Prover.Tenants {
     private final List<Tenant> tenants;
     /** Their indexes, by the order of their names. */
     private final int[] ordered;
@@ -40,13 +40,19 @@
         return -1;
     }
 
+    @Override
+    public boolean has(String name) {
+        return of(name) >= 0;
+    }
+
     /** The name of one, by its index; empty for an index that is none. */
     String at(int index) {
         return index >= 0 && index < tenants.size() ? tenants.get(index).name() : "";
     }
 
     /** All names, in the order of the settings. */
-    List<String> all() {
+    @Override
+    public List<String> all() {
         return new AbstractList<>() {
             @Override
             public String get(int index) {
--- a/src/main/java/vetchpost/routes/Violation.java
+++ b/src/main/java/vetchpost/routes/Violation.java
@@ -20,7 +20,7 @@
         OUT_OF_RANGE("figures make sense"),
         UNKNOWN_CLASS("classes are those of the settings"),
         UNKNOWN_TENANT("tenants are those of the settings"),
-        UNKNOWN_ROUTE("routes that are changed are there"),
+        UNKNOWN_ENTRY("what is changed is there"),
         BAD_PATTERN("paths, names and addresses are written as they are read"),
         UNREACHABLE("every route can be reached"),
         SAME_MATCH("no two routes match the same"),
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/scale/Configurations.java
@@ -0,0 +1,154 @@
+package vetchpost.simulation.scale;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+
+import vetchpost.changes.Catalog;
+import vetchpost.decision.Balancer.Group;
+import vetchpost.decision.Balancer.Repeat;
+import vetchpost.decision.Balancer.RequestClass;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.routes.Position;
+import vetchpost.routes.RouteCodec;
+import vetchpost.routes.Section;
+import vetchpost.store.Change;
+import vetchpost.store.Fields;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.Version;
+
+/** Drawn configurations of any size, and changes of them; the same for the same seed. */
+final class Configurations {
+    private static final Position AT = new Position("drawn", 1, 1);
+    private static final int BATCH = 5_000;
+    private static final long MS = 1_000;
+
+    private final SplittableRandom random;
+    private final int services;
+    private final int tenants;
+    private int routes;
+
+    /** Of so many entries of each kind, as far as they are made. */
+    Configurations(long seed, int services, int tenants) {
+        random = new SplittableRandom(seed);
+        this.services = services;
+        this.tenants = tenants;
+    }
+
+    /** What requests there are. */
+    static Settings settings() {
+        Settings set = new Settings();
+        set.maxAttempts = 3;
+        set.maxRetryAfterUs = 30_000 * MS;
+        set.secondCopies = true;
+        set.classes.add(new RequestClass("read", 1_000 * MS, 0, 30_000 * MS, 1, 0.5, Repeat.SAFE, Group.ALL,
+                0, false));
+        set.classes.add(new RequestClass("write", 1_000 * MS, 0, 30_000 * MS, 1, 0.5, Repeat.UNSAFE,
+                Group.ALL, 0,
+                false));
+        return set;
+    }
+
+    private String path(int route) {
+        return String.format(Locale.ROOT, "/s%04d/r%06d/{id}", route % services, route);
+    }
+
+    private static Key key(String route) {
+        return new Key(Kind.ROUTE, route);
+    }
+
+    private byte[] route(int number) {
+        Map<String, Section.Entry> entries = new LinkedHashMap<>();
+        put(entries, "path", path(number));
+        put(entries, "class", "read");
+        put(entries, "attempts", (long) random.nextInt(1, 4));
+        put(entries, "attempt-timeout", random.nextInt(50, 900) + "ms");
+        put(entries, "total-timeout", random.nextInt(3, 9) + "s");
+        put(entries, "concurrency", (long) random.nextInt(10, 2_000));
+        if (tenants > 0 && random.nextInt(20) == 0) {
+            put(entries, "tenant", tenant(random.nextInt(tenants)));
+        }
+        return RouteCodec.bytes(new Section(Section.Kind.ROUTE, "", AT, entries));
+    }
+
+    private static void put(Map<String, Section.Entry> entries, String key, Object value) {
+        entries.put(key, new Section.Entry(value, AT));
+    }
+
+    private static String tenant(int number) {
+        return String.format(Locale.ROOT, "t%06d", number);
+    }
+
+    private static byte[] share(double share) {
+        Fields.Packer packer = new Fields.Packer();
+        packer.add(0, share);
+        return packer.bytes();
+    }
+
+    private static byte[] service(int number) {
+        Fields.Packer packer = new Fields.Packer();
+        packer.add(0, "pool-" + number);
+        packer.add(1, 30L);
+        return packer.bytes();
+    }
+
+    /** A configuration of that many routes. */
+    Catalog whole(int ofRoutes) {
+        List<Change> changes = new ArrayList<>();
+        for (int i = 0; i < services; i++) {
+            changes.add(Change.put(new Key(Kind.SERVICE, String.format(Locale.ROOT, "s%04d", i)),
+                    service(i)));
+        }
+        for (int i = 0; i < tenants; i++) {
+            changes.add(Change.put(new Key(Kind.TENANT, tenant(i)), share(1 + i % 7)));
+        }
+        for (routes = 0; routes < ofRoutes; routes++) {
+            changes.add(Change.put(key(path(routes)), route(routes)));
+        }
+        Catalog catalog = Catalog.empty(settings());
+        long number = 0;
+        for (int i = 0; i < changes.size(); i += BATCH) {
+            Catalog.Outcome outcome = catalog.prove(changes.subList(i, Math.min(changes.size(), i + BATCH)),
+                    Version.of(1, ++number));
+            if (outcome.catalog() == null) {
+                throw new IllegalStateException("what was drawn is refused: " + outcome.violations().get(0));
+            }
+            catalog = outcome.catalog();
+        }
+        return catalog;
+    }
+
+    /**
+     * Some changes that fit the catalog: mostly a route that says something else, now and then one more or
+     * less.
+     */
+    List<Change> batch(Catalog catalog, int size) {
+        Map<Key, Change> batch = new LinkedHashMap<>();
+        while (batch.size() < size) {
+            int kind = random.nextInt(20);
+            if (kind == 0) {
+                batch.put(key(path(routes)), Change.put(key(path(routes)), route(routes++)));
+                continue;
+            }
+            if (kind == 1 && tenants > 0) {
+                Key tenant = new Key(Kind.TENANT, tenant(random.nextInt(tenants)));
+                batch.put(tenant, Change.replace(tenant, share(random.nextInt(1, 50))));
+                continue;
+            }
+            int number = random.nextInt(routes);
+            Key route = key(path(number));
+            if (catalog.store().get(route) == null || batch.containsKey(route)) {
+                if (batch.isEmpty() && routes < 10) {
+                    batch.put(key(path(routes)), Change.put(key(path(routes)), route(routes++)));
+                }
+                continue;
+            }
+            batch.put(route, kind == 2 ? Change.delete(route) : Change.replace(route, route(number)));
+        }
+        return List.copyOf(batch.values());
+    }
+}
--- /dev/null
+++ b/src/test/java/vetchpost/replication/Planted.java
@@ -0,0 +1,57 @@
+package vetchpost.replication;
+
+import vetchpost.store.PackedTree.Item;
+import vetchpost.store.VersionedStore;
+
+/** Replicas with a fault, to see that it is found. */
+public final class Planted {
+    private Planted() { }
+
+    /** Takes what comes before what it has, as of a writer that was replaced. */
+    public static Replica unfenced(String name, VersionedStore store, Index index, boolean relay,
+            Replica.Listener listener) {
+        return new Replica(name, store, index, relay, listener) {
+            @Override
+            boolean isPast(long version) {
+                return false;
+            }
+
+            @Override
+            boolean follows(Frame frame) {
+                return true;
+            }
+
+            @Override
+            boolean belongs(Frame.Entry entry, Frame frame) {
+                return true;
+            }
+
+            @Override
+            boolean isOlder(long stamp, Item own) {
+                return false;
+            }
+        };
+    }
+
+    /** Has each part of a batch in force as it comes. */
+    public static Replica hasty(String name, VersionedStore store, Index index, boolean relay,
+            Replica.Listener listener) {
+        return new Replica(name, store, index, relay, listener) {
+            @Override
+            boolean isWhole(Frame frame) {
+                return true;
+            }
+        };
+    }
+
+    /** Passes over what went away when ranges are compared. */
+    public static Replica hoarding(String name, VersionedStore store, Index index, boolean relay,
+            Replica.Listener listener) {
+        return new Replica(name, store, index, relay, listener) {
+            @Override
+            void gone(Item item) {
+                // It stays.
+            }
+        };
+    }
+}
--- a/src/test/java/vetchpost/routes/ChangesProperty.java
+++ b/src/test/java/vetchpost/routes/ChangesProperty.java
@@ -115,7 +115,7 @@
             Proof whole = whole(sections, alone);
             Proof changed = Prover.change(table, new ArrayList<>(batch.values()), version);
             if (!known) {
-                assertTrue(rules(changed).contains("UNKNOWN_ROUTE"));
+                assertTrue(rules(changed).contains("UNKNOWN_ENTRY"));
                 refused++;
                 continue;
             }
