--- a/src/main/java/vetchpost/changes/Catalog.java
+++ b/src/main/java/vetchpost/changes/Catalog.java
@@ -123,6 +123,11 @@
         List<Change> changes = List.copyOf(last.values());
         VersionedStore after = store.with(changes, version);
         Proof proof = proof(changes, after, version, violations);
+        if (!violations.isEmpty()) {
+            // Some can't be read, so that nothing more can be said of them.
+            violations.addAll(proof.violations());
+            return new Outcome(null, violations);
+        }
         PackedTree owned = byTenant;
         for (int i = 0; i < changes.size(); i++) {
             Change change = changes.get(i);
--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -3,6 +3,7 @@
 import vetchpost.simulation.SimulateCommand;
 import vetchpost.simulation.crowd.CrowdCommand;
 import vetchpost.simulation.fleet.FleetCommand;
+import vetchpost.simulation.scale.ScaleCommand;
 import vetchpost.trial.TryCommand;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -19,6 +20,7 @@
             .addSubcommand(new StateCommand()).addSubcommand(new CtlCommand())
             .addSubcommand(new SimulateCommand()).addSubcommand(new CrowdCommand())
             .addSubcommand(new FleetCommand())
+            .addSubcommand(new ScaleCommand())
             .addSubcommand(new TryCommand());
 
     private Commands() { }
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/scale/Fit.java
@@ -0,0 +1,69 @@
+package vetchpost.simulation.scale;
+
+import java.util.Locale;
+
+/**
+ * A straight line through measured points by least squares, and how far the points are from it; and the power
+ * by which they grow, which is 1 for a straight line without a beginning of its own.
+ *
+ * @param intercept at nothing
+ * @param slope for each one more
+ * @param worst the largest distance of a point from the line, as a share of the point's own value
+ * @param power the slope of the logarithms
+ */
+record Fit(double intercept, double slope, double worst, double power) {
+    /** A line is called straight up to here: timings on a machine with other work on it spread by so much. */
+    private static final double STRAIGHT = 0.15;
+
+    /** Through these points, two at least. */
+    static Fit of(double[] x, double[] y) {
+        double[] line = line(x, y);
+        double worst = 0;
+        double[] logX = new double[x.length];
+        double[] logY = new double[x.length];
+        for (int i = 0; i < x.length; i++) {
+            worst = Math.max(worst, Math.abs(line[0] + line[1] * x[i] - y[i]) / Math.max(1e-12,
+                    Math.abs(y[i])));
+            logX[i] = Math.log(x[i]);
+            logY[i] = Math.log(Math.max(1e-12, y[i]));
+        }
+        return new Fit(line[0], line[1], worst, line(logX, logY)[1]);
+    }
+
+    private static double[] line(double[] x, double[] y) {
+        double meanX = 0;
+        double meanY = 0;
+        for (int i = 0; i < x.length; i++) {
+            meanX += x[i] / x.length;
+            meanY += y[i] / x.length;
+        }
+        double both = 0;
+        double square = 0;
+        for (int i = 0; i < x.length; i++) {
+            both += (x[i] - meanX) * (y[i] - meanY);
+            square += (x[i] - meanX) * (x[i] - meanX);
+        }
+        double slope = square == 0 ? 0 : both / square;
+        return new double[] {meanY - slope * meanX, slope};
+    }
+
+    /** What the line foretells. */
+    double at(double x) {
+        return intercept + slope * x;
+    }
+
+    /** The residuals, in the order of the points, as shares of their values. */
+    double[] residuals(double[] x, double[] y) {
+        double[] residuals = new double[x.length];
+        for (int i = 0; i < x.length; i++) {
+            residuals[i] = (y[i] - at(x[i])) / Math.max(1e-12, Math.abs(y[i]));
+        }
+        return residuals;
+    }
+
+    /** In words: straight, or what shape it has. */
+    String shape() {
+        return worst <= STRAIGHT ? "straight" : power < 0.25 ? "nearly flat"
+                : String.format(Locale.ROOT, "grows by the power of %.2f", power);
+    }
+}
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/scale/Footprint.java
@@ -0,0 +1,174 @@
+package vetchpost.simulation.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Supplier;
+
+import vetchpost.changes.Catalog;
+import vetchpost.decision.Balancer;
+import vetchpost.decision.Balancer.Actions;
+import vetchpost.decision.Balancer.ListKind;
+import vetchpost.decision.Balancer.Outcome;
+import vetchpost.decision.Balancer.Request;
+import vetchpost.decision.Balancer.Result;
+import vetchpost.decision.Balancer.ServerEntry;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.decision.ServiceQBalancer;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.PackedTree;
+import vetchpost.store.PackedTree.Item;
+
+/** What things keep on the heap, and what they take of the processor. */
+final class Footprint {
+    private static final int COLLECTIONS = 3;
+    private static final long GAP_US = 100;
+    private static final long SERVED_US = 5_000;
+    private static final long LEFT_US = 500_000;
+
+    private static volatile Object kept;
+
+    private Footprint() { }
+
+    /** Something that was made. */
+    record Made<T>(T thing, double ms, long bytes) { }
+
+    /** Bytes on the heap that something needs as long as it is kept, and how long it took to make. */
+    static <T> Made<T> retained(Supplier<T> making) {
+        kept = null;
+        long before = used();
+        long began = System.nanoTime();
+        T thing = making.get();
+        double ms = (System.nanoTime() - began) / 1e6;
+        kept = thing;
+        return new Made<>(thing, ms, Math.max(0, used() - before));
+    }
+
+    private static long used() {
+        Runtime runtime = Runtime.getRuntime();
+        long used = Long.MAX_VALUE;
+        for (int i = 0; i < COLLECTIONS; i++) {
+            System.gc();
+            used = Math.min(used, runtime.totalMemory() - runtime.freeMemory());
+        }
+        return used;
+    }
+
+    /** A module that is told servers and asked for them, and carries out nothing. */
+    static final class Module implements Actions {
+        private final Balancer balancer;
+        private long nowUs = 1_000_000;
+        private long ids;
+        private boolean sent;
+
+        Module() {
+            Settings settings = Configurations.settings();
+            balancer = new ServiceQBalancer(settings, 1, this);
+        }
+
+        void told(List<ServerEntry> servers) {
+            balancer.onServers(nowUs, ListKind.FULL, servers);
+        }
+
+        /** A request that is served. */
+        void serve() {
+            nowUs += GAP_US;
+            long id = ++ids;
+            sent = false;
+            balancer.onRequest(nowUs, new Request(id, 0, -1, LEFT_US, 0, false));
+            if (sent) {
+                balancer.onOutcome(nowUs + SERVED_US, new Outcome(id, 0, Result.OK, SERVED_US, true, null));
+            }
+        }
+
+        @Override
+        public void send(long requestId, String serverId, long untilUs) {
+            sent = true;
+        }
+
+        @Override
+        public void cancel(long requestId, int attempt) { }
+
+        @Override
+        public void refuse(long requestId, long retryAfterUs) { }
+
+        @Override
+        public void fail(long requestId) { }
+
+        @Override
+        public void wakeAt(long atUs) { }
+
+        @Override
+        public void probe(String serverId) { }
+
+        @Override
+        public void subscribe() { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    /** A list that a module was told. */
+    record ListTold(double ms, long bytes) { }
+
+    static List<ServerEntry> servers(int count) {
+        List<ServerEntry> entries = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            entries.add(new ServerEntry("server-" + i, 0, i % 40, ServerState.READY, 1, 0));
+        }
+        return entries;
+    }
+
+    /** What a list of so many servers comes to, when new. */
+    static ListTold list(int count) {
+        List<ServerEntry> entries = servers(count);
+        Made<Module> made = retained(() -> {
+            Module module = new Module();
+            module.told(entries);
+            return module;
+        });
+        return new ListTold(made.ms(), made.bytes());
+    }
+
+    /** Nanoseconds of this thread for each of so many runs, the least of three rounds after one. */
+    static double eachNs(int runs, Runnable work) {
+        double least = Double.MAX_VALUE;
+        for (int round = 0; round < 4; round++) {
+            long began = System.nanoTime();
+            for (int i = 0; i < runs; i++) {
+                work.run();
+            }
+            double ns = (System.nanoTime() - began) / (double) runs;
+            least = round == 0 ? least : Math.min(least, ns);
+        }
+        return least;
+    }
+
+    /** Bytes that a node keeps for each route, with its part of the trees and of the way to find it. */
+    static double perRoute(Catalog catalog) {
+        return of(catalog, Kind.ROUTE) + (double) catalog.indexBytes() / Math.max(1, catalog.routes().size());
+    }
+
+    /** The same for a tenant. */
+    static double perTenant(Catalog catalog) {
+        return of(catalog, Kind.TENANT);
+    }
+
+    private static double of(Catalog catalog, Kind kind) {
+        PackedTree live = catalog.store().live();
+        byte[] first = new Key(kind, "").bytes();
+        long all = 0;
+        long own = 0;
+        long count = 0;
+        for (Item item = live.at(0); item != null; item = live.ceiling(PackedTree.after(item.key()))) {
+            long bytes = item.key().length + item.value().length + Long.BYTES;
+            all += bytes;
+            if (item.key()[0] == first[0]) {
+                own += bytes;
+                count++;
+            }
+        }
+        return count == 0 ? 0 : (double) own / count * live.retainedBytes() / all;
+    }
+}
--- a/src/main/java/vetchpost/simulation/scale/ReplicationRun.java
+++ b/src/main/java/vetchpost/simulation/scale/ReplicationRun.java
@@ -75,7 +75,9 @@
         writer = new Writer(start, Version.epoch(start.store().version()));
         remember();
         head = hollow.machine("writer", 0);
-        head.publish(start.store(), budget);
+        // What goes to a few control machines may take what nodes must not.
+        head.publish(start.store(), new Publisher.Budget(10 * budget.peerPerS(), 10 * budget.peerBurst(),
+                budget.allPerS()));
         for (int i = 0; i < controlMachines; i++) {
             Machine control = hollow.machine("control-" + i, i % REGIONS);
             controls.add(control);
@@ -222,6 +224,15 @@
         });
     }
 
+    /** The same with just this on its disk. */
+    void restart(Machine machine, long afterUs, VersionedStore store, Index index) {
+        machine.kill();
+        hollow.at(hollow.nowUs() + afterUs, () -> {
+            machine.start();
+            begin(machine, store, index, 1_000);
+        });
+    }
+
     /** Another writer takes over, from what the control machine that is furthest has. */
     void takeOver() {
         Machine furthest = controls.get(0);
--- /dev/null
+++ b/src/main/java/vetchpost/simulation/scale/Slopes.java
@@ -0,0 +1,463 @@
+package vetchpost.simulation.scale;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.IntFunction;
+
+import vetchpost.admission.AdmissionProver;
+import vetchpost.admission.FairAdmission;
+import vetchpost.changes.Catalog;
+import vetchpost.changes.Writer;
+import vetchpost.control.Desk;
+import vetchpost.control.Judge;
+import vetchpost.control.Leases;
+import vetchpost.control.Situation;
+import vetchpost.core.ServerList;
+import vetchpost.decision.Balancer.ServerEntry;
+import vetchpost.decision.Balancer.ServerState;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.decision.Balancer.Tenant;
+import vetchpost.discovery.ServerListParser;
+import vetchpost.replication.Frame;
+import vetchpost.replication.FrameCodec;
+import vetchpost.replication.Publisher;
+import vetchpost.routes.FileRoutePolicy;
+import vetchpost.routes.Proof;
+import vetchpost.routes.Prover;
+import vetchpost.routes.RouteCodec;
+import vetchpost.routes.Section;
+import vetchpost.routes.Violation;
+import vetchpost.routes.file.FileIndex;
+import vetchpost.simulation.scale.Footprint.Made;
+import vetchpost.simulation.scale.ReplicationRun.Replicas;
+import vetchpost.state.BoxState;
+import vetchpost.state.ClassState;
+import vetchpost.state.Confirmed;
+import vetchpost.state.Origin;
+import vetchpost.state.Trouble;
+import vetchpost.state.codec.PieceCodec;
+import vetchpost.store.Change;
+import vetchpost.store.Fields;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.PackedTree;
+import vetchpost.store.Version;
+import vetchpost.store.VersionedStore;
+
+/**
+ * Measures each role's state, messages, processor time and memory by what it grows with, at five sizes of two
+ * decades.
+ */
+final class Slopes {
+    private static final int[] OF_ALL = {100, 32, 10, 3, 1};
+    private static final int SERVERS_A_SERVICE = 54;
+
+    private final List<Row> rows = new ArrayList<>();
+    private final int largest;
+    private final Consumer<String> progress;
+
+    /**
+     * What was measured.
+     *
+     * @param coming the size that is coming
+     */
+    record Row(String role, String what, String unit, String by, double[] x, double[] y, double coming) {
+        Fit fit() {
+            return Fit.of(x, y);
+        }
+    }
+
+    /** A figure or several of one size. */
+    private interface Measure {
+        double[] at(int size);
+    }
+
+    /**
+     * Not measured yet.
+     *
+     * @param largest one so many-th of the coming size is the largest that is measured; 1 for all of it
+     * @param progress hears what is being measured
+     */
+    Slopes(int largest, Consumer<String> progress) {
+        this.largest = largest;
+        this.progress = progress;
+    }
+
+    List<Row> all() {
+        servers();
+        services();
+        routes();
+        tenants();
+        nodes();
+        changes();
+        return rows;
+    }
+
+    /** Measures at five sizes, the smallest first; each figure a row of its own. */
+    private void rows(String role, String by, int coming, Measure measure, String... namesAndUnits) {
+        double[] x = new double[OF_ALL.length];
+        double[][] y = new double[namesAndUnits.length / 2][OF_ALL.length];
+        for (int i = 0; i < OF_ALL.length; i++) {
+            int size = Math.max(1, coming / largest / OF_ALL[i]);
+            x[i] = size;
+            progress.accept(role + ", " + namesAndUnits[0] + ", " + size + " " + by);
+            double[] figures = measure.at(size);
+            for (int f = 0; f < y.length; f++) {
+                y[f][i] = figures[f];
+            }
+        }
+        for (int f = 0; f < y.length; f++) {
+            rows.add(new Row(role, namesAndUnits[2 * f], namesAndUnits[2 * f + 1], by, x, y[f], coming));
+        }
+    }
+
+    private static double ms(Runnable work) {
+        long began = System.nanoTime();
+        work.run();
+        return (System.nanoTime() - began) / 1e6;
+    }
+
+    private static double leastMs(int times, Runnable work) {
+        double least = Double.MAX_VALUE;
+        for (int i = 0; i < times; i++) {
+            least = Math.min(least, ms(work));
+        }
+        return least;
+    }
+
+    // ---------------------------------------------------------------- by servers
+
+    private void servers() {
+        Footprint.list(2_000); // Warm.
+        rows("node", "servers", 200_000, n -> {
+            List<ServerEntry> entries = Footprint.servers(n);
+            Made<Footprint.Module> made = Footprint.retained(() -> {
+                Footprint.Module module = new Footprint.Module();
+                module.told(entries);
+                return module;
+            });
+            double again = leastMs(3, () -> made.thing().told(entries));
+            double fresh = leastMs(2, () -> new Footprint.Module().told(entries));
+            double decision = Footprint.eachNs(50_000, made.thing()::serve);
+            return new double[] {made.bytes() / 1e6, fresh, again, decision};
+        }, "a list told to the module, kept", "MB", "the same, when new: the loop", "ms",
+                "the same again: the loop", "ms",
+                "a request decided", "ns");
+        rows("discovery's side", "servers", 200_000, n -> {
+            String json = list(n);
+            ServerList[] read = new ServerList[1];
+            double ms = leastMs(2, () -> read[0] = ServerListParser.parse(json));
+            return new double[] {json.length() / 1e6, ms};
+        }, "a whole list as a message (4 MiB is the most)", "MB", "the same, read by a node", "ms");
+        rows("state on disk", "servers", 200_000, n -> {
+            int boxes = Math.min(n, 100_000);
+            double[] bytes = new double[1];
+            double ms = leastMs(2, () -> bytes[0] = snapshot(boxes));
+            return new double[] {bytes[0] / 1e6, ms};
+        }, "a snapshot of servers (100,000 is the most)", "MB", "the same, encoded off the loop", "ms");
+        rows("operators' tools", "servers", 200_000, n -> {
+            Desk desk = desk(n);
+            double[] bytes = new double[1];
+            double ms = leastMs(2, () -> desk.take("{\"v\":1,\"do\":\"servers\"}", () -> new Desk.Now(1, 1),
+                    reply -> bytes[0] = reply.length()));
+            return new double[] {bytes[0] / 1e6, ms};
+        }, "the reply to ctl servers", "MB", "the same: the loop", "ms");
+    }
+
+    private static String list(int servers) {
+        StringBuilder text = new StringBuilder("{\"rev\":1,\"all\":true,\"targets\":[");
+        for (int i = 0; i < servers; i++) {
+            text.append(i == 0 ? "" : ",").append("{\"uid\":\"server-").append(i).append(
+                    "\",\"endpoint\":\"10.")
+                    .append(i >> 16).append('.').append(i >> 8 & 255).append('.').append(i & 255)
+                    .append(":9000\",\"az\":\"zone-").append(i % 10).append("\",\"pod_group\":").append(
+                            i % 40)
+                    .append(",\"state\":\"Ready\",\"capacity_hint\":1.0,\"boot_ms\":0}");
+        }
+        return text.append("]}").toString();
+    }
+
+    private static double snapshot(int boxes) {
+        Origin origin = new Origin(1, 1, 1, 1, EnumSet.noneOf(Trouble.class));
+        List<ClassState> classes = List.of(new ClassState("read", 50, 20_000, 15_000));
+        int pieces = PieceCodec.pieces(boxes);
+        double bytes = 0;
+        for (int piece = 0; piece < pieces; piece++) {
+            List<BoxState> some = new ArrayList<>();
+            for (int i = piece * PieceCodec.BOXES; i < Math.min(boxes, (piece + 1) * PieceCodec.BOXES); i++) {
+                some.add(new BoxState(new ServerList.Target("server-" + i,
+                        new java.net.InetSocketAddress("10.0.0.1", 9_000), "zone-1", 1, ServerState.READY, 1,
+                                0), 1, Confirmed.LIST, 0,
+                                null));
+            }
+            bytes += PieceCodec.write(piece, pieces, origin, classes, some).length;
+        }
+        return bytes;
+    }
+
+    private static Desk desk(int servers) {
+        List<Situation.Server> all = new ArrayList<>();
+        for (int i = 0; i < servers; i++) {
+            all.add(new Situation.Server("server-" + i, "zone-" + i % 10, 1, false));
+        }
+        Situation situation = new Situation(all, List.of("read", "write"));
+        return new Desk(new Leases(new Judge(0.5, 0.9)), () -> situation, Map::of, (text,
+                done) -> done.accept(null),
+                () -> { });
+    }
+
+    // ---------------------------------------------------------------- by services
+
+    private void services() {
+        List<ServerEntry> own = Footprint.servers(SERVERS_A_SERVICE);
+        rows("node", "services", 3_700, n -> {
+            Made<List<Footprint.Module>> made = Footprint.retained(() -> {
+                List<Footprint.Module> modules = new ArrayList<>();
+                for (int i = 0; i < n; i++) {
+                    Footprint.Module module = new Footprint.Module();
+                    module.told(own);
+                    modules.add(module);
+                }
+                return modules;
+            });
+            return new double[] {made.bytes() / 1e6, made.ms()};
+        }, "a module of its own for each service of 54 servers, kept", "MB",
+                "the same, made and told: the loop", "ms");
+    }
+
+    // ---------------------------------------------------------------- by routes
+
+    private void routes() {
+        rows("node", "routes", 220_000, n -> {
+            Catalog catalog = new Configurations(1, 3_700, 1).whole(n);
+            long kept = catalog.store().live().retainedBytes() + catalog.indexBytes();
+            FileRoutePolicy policy = new FileRoutePolicy(catalog.routes(), Configurations.settings(), 1);
+            String[] targets = new String[1_024];
+            for (int i = 0; i < targets.length; i++) {
+                int route = (int) (i * 7_919L % n);
+                targets[i] = String.format(Locale.ROOT, "/s%04d/r%06d/%d?x=1", route % 3_700, route, i);
+            }
+            int[] next = new int[1];
+            double find = Footprint.eachNs(20_000, () -> catalog.routes().find("read", "GET",
+                    targets[next[0]++ & targets.length - 1], -1));
+            Writer writer = new Writer(catalog, 1);
+            Configurations drawn = new Configurations(2, 3_700, 1);
+            drawn.whole(n);
+            List<List<Change>> batches = new ArrayList<>();
+            for (int i = 0; i < 400; i++) {
+                batches.add(drawn.batch(catalog, 1));
+            }
+            int[] at = new int[1];
+            double prove = Footprint.eachNs(100, () -> writer.submit(batches.get(at[0]++ % batches.size(
+                    )))) / 1e3;
+            List<PackedTree.Item> some = catalog.store().live().range(new Key(Kind.ROUTE, "").bytes(), null,
+                    400);
+            double settle = Footprint.eachNs(100, () -> {
+                PackedTree.Item item = some.get(at[0]++ % some.size());
+                catalog.settled(item.key(), item.value(), item.stamp() + 1);
+            }) / 1e3;
+            double swap = Footprint.eachNs(1_000, () -> policy.settle(catalog.routes(),
+                    Configurations.settings())) / 1e3;
+            return new double[] {kept / 1e6, find, settle, swap, prove};
+        }, "entries of routes, with the way to find them, kept", "MB",
+                "a request's route found, with its limits", "ns",
+                "one change put together, off the loop", "us", "one change in force: the loop", "us",
+                "one change proved, at the control machine", "us");
+        rows("operators' tools", "routes", 220_000, n -> file(n), "a file read and proved", "ms",
+                "the same read again, one route changed: off the loop", "ms", "kept to do so", "MB");
+        rows("control machine", "routes", 220_000, n -> {
+            Catalog catalog = new Configurations(1, 3_700, 1).whole(n);
+            Key defaults = new Key(Kind.LIMITS, "");
+            Writer writer = new Writer(catalog, 1);
+            byte[] value = RouteCodec.bytes(new Section(Section.Kind.DEFAULTS, "",
+                    new vetchpost.routes.Position("x", 1, 1),
+                    Map.of("retry-budget", new Section.Entry(0.2, new vetchpost.routes.Position("x", 1,
+                            1)))));
+            double ms = ms(() -> require(writer.submit(List.of(Change.put(defaults, value))).isEmpty()));
+            return new double[] {ms};
+        }, "the defaults changed: all routes proved", "ms");
+    }
+
+    private static void require(boolean holds) {
+        if (!holds) {
+            throw new IllegalStateException("what was drawn is refused");
+        }
+    }
+
+    /** A file of routes as operators write them. */
+    private static double[] file(int routes) {
+        try {
+            Path file = Files.createTempFile("slopes", ".toml");
+            try {
+                StringBuilder text = new StringBuilder();
+                for (int i = 0; i < routes; i++) {
+                    text.append(String.format(Locale.ROOT, "[[route]]%npath = \"/s%04d/r%06d/{id}\"%nclass "
+                            + "= \"read\"%n"
+                            + "attempts = 2%nattempt-timeout = \"300ms\"%ntotal-timeout = "
+                            + "\"5s\"%nconcurrency = 100%n",
+                            i % 3_700, i));
+                }
+                Files.writeString(file, text);
+                Read[] read = new Read[1];
+                double whole = ms(() -> read[0] = new Read(file));
+                Files.writeString(file, text.toString().replaceFirst("concurrency = 100",
+                        "concurrency = 101"));
+                double again = leastMs(2, () -> require(read[0].again(file) == 1));
+                return new double[] {whole, again, read[0].index.retainedBytes() / 1e6};
+            } finally {
+                Files.delete(file);
+            }
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** A file that was read. */
+    private static final class Read implements FileIndex.Tables {
+        private final FileIndex index;
+        private Prover prover;
+        private final Proof proof;
+
+        Read(Path file) {
+            List<Violation> violations = new ArrayList<>();
+            try {
+                index = FileIndex.read(file, this, violations::add);
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+            proof = prover.end();
+            require(violations.isEmpty() && proof.holds());
+        }
+
+        @Override
+        public void others(List<Section> sections) {
+            prover = Prover.begin(sections, Configurations.settings(), true, null, 1);
+        }
+
+        @Override
+        public void route(Section section) {
+            prover.add(section);
+        }
+
+        /** How many routes have changed. */
+        int again(Path file) {
+            try {
+                FileIndex.Difference difference = index.again(file);
+                List<Prover.RouteChange> changes = difference.fresh().stream().map(
+                        s -> new Prover.RouteChange(
+                        Change.Op.REPLACE, RouteCodec.nameOf(s), s, s.at())).toList();
+                require(Prover.change(proof.table(), changes, 2).holds());
+                return changes.size();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    // ---------------------------------------------------------------- by tenants
+
+    private void tenants() {
+        rows("node", "tenants", 420_000, n -> {
+            PackedTree[] tree = {PackedTree.EMPTY};
+            for (int i = 0; i < n; i++) {
+                Fields.Packer packer = new Fields.Packer();
+                packer.add(0, 1.0 + i % 7);
+                tree[0] = tree[0].put(new Key(Kind.TENANT, String.format(Locale.ROOT, "t%06d", i)).bytes(),
+                        packer.bytes(), Version.of(1, 1));
+            }
+            Made<Settings> settings = Footprint.retained(() -> {
+                Settings made = Configurations.settings();
+                for (int i = 0; i < n; i++) {
+                    made.tenants.add(new Tenant(String.format(Locale.ROOT, "t%06d", i), 1 + i % 7));
+                }
+                return made;
+            });
+            Made<FairAdmission> door = Footprint.retained(() -> new FairAdmission(AdmissionProver.defaults(
+                    settings.thing()), settings.thing(), 1));
+            return new double[] {tree[0].retainedBytes() / 1e6, settings.bytes() / 1e6, door.bytes() / 1e6,
+                    door.ms()};
+        }, "entries of tenants, kept", "MB", "the module's settings of them, kept", "MB",
+                "the door's shares of them, kept", "MB", "the same, made anew: the loop", "ms");
+    }
+
+    // ---------------------------------------------------------------- by nodes and by changes
+
+    private void nodes() {
+        rows("control machine", "nodes", 2_200 / 18, n -> {
+            FrameCodec codec = new FrameCodec();
+            VersionedStore[] store = {new Configurations(1, 10, 1).whole(2_000).store()};
+            long[] nowUs = {0};
+            Publisher publisher = new Publisher(store[0], codec, new Publisher.Budget(18_000, 4_000, 4e6),
+                    5_000_000, 0);
+            double[] bytes = new double[1];
+            for (int i = 0; i < n; i++) {
+                Publisher.Peer peer = new Publisher.Peer() {
+                    @Override
+                    public void send(byte[] frame) {
+                        bytes[0] += frame.length;
+                    }
+
+                    @Override
+                    public boolean isWritable() {
+                        return true;
+                    }
+                };
+                publisher.connected(peer, 0);
+                try {
+                    publisher.take(peer, codec.read(codec.write(hello(store[0]))), 0);
+                } catch (vetchpost.replication.Malformed e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+            publisher.pump(0);
+            bytes[0] = 0;
+            int[] changes = new int[1];
+            double us = Footprint.eachNs(200, () -> {
+                nowUs[0] += 1_000_000;
+                store[0] = store[0].with(List.of(Change.replace(new Key(Kind.ROUTE, "/x"), new byte[60])),
+                        store[0].version() + 1);
+                publisher.settle(store[0]);
+                publisher.pump(nowUs[0]);
+                changes[0]++;
+            }) / 1e3;
+            return new double[] {us, bytes[0] / changes[0] / 1e3};
+        }, "a change told to its nodes", "us", "the same, sent", "kB");
+    }
+
+    private static Frame hello(VersionedStore store) {
+        return new Frame(Frame.Type.HELLO, store.version(), 0, 0, false, store.live().sum(), List.of(), "n",
+                List.of());
+    }
+
+    private void changes() {
+        IntFunction<double[]> run = hundredths -> {
+            Configurations drawn = new Configurations(3, 100, 100);
+            ReplicationRun played = new ReplicationRun(3, drawn, drawn.whole(5_000), 4, 40,
+                    new Publisher.Budget(18_000, 4_000, 4e6), Replicas.REAL, false);
+            Hollow hollow = played.hollow();
+            hollow.run(5_000_000);
+            played.changes(hundredths / 100.0, 25_000_000);
+            hollow.run(25_000_000);
+            double nodes = played.nodes().size();
+            double bytes = 0;
+            double ns = 0;
+            for (Hollow.Machine node : played.nodes()) {
+                bytes += node.spent().sumBytes(5_000_000, 25_000_000) / nodes / 20;
+                ns += node.spent().sumCpuNs(5_000_000, 25_000_000) / nodes / 20;
+            }
+            return new double[] {bytes / 1e3, ns / 1e6};
+        };
+        run.apply(1_000); // Warm.
+        rows("node", "hundredths of a change a second", 5_700 * largest, run::apply,
+                "messages of changes, a second", "kB",
+                "processor time of changes, a second", "ms");
+    }
+}
--- a/src/test/java/vetchpost/daemon/Alone.java
+++ b/src/test/java/vetchpost/daemon/Alone.java
@@ -75,6 +75,10 @@
         return reload("127.0.0.1:0", text);
     }
 
+    ProvedFile loaded() throws Exception {
+        return on(node::loaded);
+    }
+
     Node.InHand inHand() throws Exception {
         return on(() -> node.node().inHand());
     }
--- a/src/test/java/vetchpost/daemon/ReloadTest.java
+++ b/src/test/java/vetchpost/daemon/ReloadTest.java
@@ -1,6 +1,7 @@
 package vetchpost.daemon;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -45,7 +46,8 @@
         try (Alone node = new Alone(Alone.pool(slow)); Socket client = node.connect()) {
             FakePeer.write(client, "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx");
             slow.nextRequest();
-            // Another address of the loopback, whose port the system chooses: none that somebody else may take.
+            // Another address of the loopback, whose port the system chooses: none that somebody else may
+            // take.
             InetSocketAddress moved = node.reload("127.0.0.2:0", "[classes.all]\ndeadline = \"20s\"\n"
                     + Alone.pool(other));
             try (Socket late = Alone.connect(moved)) {
@@ -74,10 +76,40 @@
         }
     }
 
+    /** Only the route is read and proved, and nothing but one reference changes. */
+    @Test
+    void oneRouteThatChangesLeavesAllElseAsItIs() throws Exception {
+        String post = "POST /photos/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n" + CLOSE + "\r\nabcde";
+        String route = "[[route]]\npath = \"/photos/*\"\nmax-body = \"9B\"\n";
+        String more = "[[route]]\npath = \"/kept/*\"\nconcurrency = 7\n";
+        try (Alone node = new Alone(Alone.pool(other) + route + more)) {
+            ProvedFile before = node.loaded();
+            assertTrue(node.all(post).endsWith("new"));
+            node.reload(Alone.pool(other) + route.replace("9B", "4B") + "# said again\n" + more);
+            ProvedFile now = node.loaded();
+            assertTrue(node.all(post).startsWith("HTTP/1.1 413 "));
+            assertSame(before.node(), now.node(), "all of it was read again");
+            assertEquals(before.version() + 1, now.version());
+            assertEquals(2, now.routes().table().size());
+            IllegalArgumentException refused = assertThrows(IllegalArgumentException.class, () -> node.reload(
+                    Alone.pool(other) + more + "[[route]]\npath = \"/kept/*\"\n"));
+            assertTrue(refused.getMessage().contains(".toml:10:1: route /kept/*")
+                    && refused.getMessage().contains(
+                    "SAME_MATCH"), refused.getMessage());
+            assertTrue(node.all(post).startsWith("HTTP/1.1 413 "), "a bad file has changed something");
+            node.reload(Alone.pool(other) + more);
+            assertTrue(node.all(post).endsWith("new"));
+            assertSame(before.node(), node.loaded().node());
+            node.reload(Alone.pool(slow) + more);
+            assertTrue(before.node() != node.loaded().node(), "another server was not seen");
+        }
+    }
+
     @Test
     void aFileThatBreaksARuleChangesNothing() throws Exception {
         try (Alone node = new Alone(Alone.pool(other))) {
-            assertThrows(IllegalArgumentException.class, () -> node.reload("[classes.all]\nrepeat = \"safe\"\n"
+            assertThrows(IllegalArgumentException.class, () -> node.reload(
+                    "[classes.all]\nrepeat = \"safe\"\n"
                     + "methods = [\"POST\"]\n" + Alone.pool(slow)));
             assertTrue(node.all(Alone.get("/", CLOSE)).endsWith("new"));
         }
--- a/src/test/java/vetchpost/routes/FileRoutePolicyTest.java
+++ b/src/test/java/vetchpost/routes/FileRoutePolicyTest.java
@@ -4,6 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.BiConsumer;
 
 import org.junit.jupiter.api.Test;
@@ -11,6 +13,9 @@
 import vetchpost.core.ClientRequest;
 import vetchpost.core.Fields;
 import vetchpost.core.RouteBounds;
+import vetchpost.decision.Balancer.Settings;
+import vetchpost.routes.file.RouteFile;
+import vetchpost.store.Change;
 
 /** What is counted for each route, and for each tenant of it. */
 class FileRoutePolicyTest {
@@ -58,6 +63,109 @@
         }
     }
 
+    private static RouteTable table(String text, RouteTable before, long version) {
+        RouteFile file = RouteFile.parse("f.toml", text);
+        Prover prover = Prover.begin(file.sections().stream().filter(s -> s.kind() !=
+                Section.Kind.ROUTE).toList(),
+                ProverTest.settings(), false, before, version);
+        file.sections().stream().filter(s -> s.kind() == Section.Kind.ROUTE).forEach(prover::add);
+        return prover.end().table();
+    }
+
+    private static RouteBounds at(FileRoutePolicy policy, String target) {
+        return policy.boundsOf(new ClientRequest(1, 0, -1, 0, 0, false, "GET", target, NO_FIELDS,
+                new byte[0]));
+    }
+
+    private static final String ONE = "[[route]]\npath = \"/view-page/one\"\nretry-budget = 0.1\n";
+    private static final String TWO = "[[route]]\npath = \"/view-page/two\"\nretry-budget = "
+            + "0.2\nconcurrency = 1000\n";
+
+    private static void spend(RouteBounds bounds) {
+        for (int i = 0; i < 10; i++) {
+            bounds.repeated();
+        }
+        assertFalse(bounds.mayRepeat());
+    }
+
+    /** Another file, or a change of another route: what is counted goes on. */
+    @Test
+    void routesThatStayKeepTheirBudgetsAndThoseThatChangeWhatIsInHand() {
+        RouteTable first = table(ONE + TWO, null, 1);
+        FileRoutePolicy policy = new FileRoutePolicy(first, ProverTest.settings(), 1);
+        spend(at(policy, "/view-page/one"));
+        spend(at(policy, "/view-page/two"));
+        spend(at(policy, "/view-page/else") == at(policy, "/view-page/other") ? at(policy, "/view-page/two")
+                : at(policy, "/view-page/one"));
+        assertTrue(at(policy, "/view-page/two").enter());
+        String changed = TWO.replace("concurrency = 1000", "concurrency = 1");
+        RouteTable second = table("# another file\n" + changed + ONE, first, 2);
+        policy.settle(second, ProverTest.settings());
+        assertFalse(at(policy, "/view-page/one").mayRepeat(), "its budget is back");
+        assertTrue(at(policy, "/view-page/two").mayRepeat(), "it has another budget now");
+        assertFalse(at(policy, "/view-page/two").enter(), "what it has in hand is not counted any more");
+        RouteTable third = Prover.change(second, List.of(new Prover.RouteChange(Change.Op.DELETE,
+                "/view-page/two", null,
+                new Position("f", 1, 1))), 3).table();
+        policy.settle(third, ProverTest.settings());
+        assertFalse(at(policy, "/view-page/one").mayRepeat());
+        // With other defaults each route has other limits.
+        policy.settle(table("[defaults]\nconcurrency = 5\n" + ONE, third, 4), ProverTest.settings());
+        assertTrue(at(policy, "/view-page/one").mayRepeat());
+    }
+
+    @Test
+    void aRouteIsTakenOutWhileAThousandRequestsHoldIt() {
+        RouteTable first = table(ONE + TWO, null, 1);
+        FileRoutePolicy policy = new FileRoutePolicy(first, ProverTest.settings(), 1);
+        List<RouteBounds> held = new ArrayList<>();
+        for (int i = 0; i < 1_000; i++) {
+            held.add(at(policy, "/view-page/two"));
+            assertTrue(held.get(i).enter());
+        }
+        assertFalse(at(policy, "/view-page/two").enter());
+        policy.settle(Prover.change(first, List.of(new Prover.RouteChange(Change.Op.DELETE, "/view-page/two",
+                null,
+                new Position("f", 1, 1))), 2).table(), ProverTest.settings());
+        RouteBounds other = at(policy, "/view-page/two");
+        assertTrue(other.enter(), "its class has no limit");
+        for (RouteBounds each : held) {
+            spend(each == held.get(0) ? each : held.get(1));
+            each.leave();
+        }
+        // Back under its name, it counts from none on, and what it had saved up is as it was left.
+        policy.settle(first, ProverTest.settings());
+        assertTrue(at(policy, "/view-page/two").enter());
+        assertFalse(at(policy, "/view-page/two").mayRepeat());
+    }
+
+    /**
+     * Tenants by the hundred thousand, of which few ask: what is kept is bounded, and nothing in hand is
+     * forgotten.
+     */
+    @Test
+    void whatIsKeptIsBounded() {
+        Settings many = ProverTest.settings();
+        for (int i = 0; i < 70_000; i++) {
+            many.tenants.add(new vetchpost.decision.Balancer.Tenant("t" + i, 1));
+        }
+        RouteFile file = RouteFile.parse("f.toml", "[class.view-page]\nretry-budget = 0.1\nconcurrency = "
+                + "2\n");
+        FileRoutePolicy policy = new FileRoutePolicy(Prover.prove(file.sections(), many).table(), many, 1);
+        RouteBounds first = bounds(policy, 0);
+        assertTrue(first.enter());
+        spend(first);
+        assertFalse(bounds(policy, 0).mayRepeat());
+        for (int tenant = 1; tenant <= FileRoutePolicy.MOST_KEPT; tenant++) {
+            bounds(policy, tenant);
+        }
+        assertTrue(bounds(policy, 0).mayRepeat(), "the longest unused begins anew");
+        assertTrue(bounds(policy, 5).enter());
+        assertFalse(bounds(policy, 6).enter(), "what is in hand is counted on");
+        first.leave();
+        assertTrue(bounds(policy, 6).enter());
+    }
+
     @Test
     void concurrencyIsTheRoutesOwnOverAllTenants() {
         FileRoutePolicy policy = policy("[class.view-page]\nconcurrency = 2\n");
