Compare ranges with deflated bounds and 32 bits of each hash, and count what replicas say

Seen in the full scale run: a node set back by 1,240 changes was compared range by range (control machines had forgotten at their restart what went away) and was not done after 60 s; a bare node was compared too, 29.1 MB both ways.

--- a/src/main/java/vetchpost/replication/Frame.java
+++ b/src/main/java/vetchpost/replication/Frame.java
@@ -2,6 +2,8 @@
 
 import java.util.List;
 
+import vetchpost.store.PackedTree;
+import vetchpost.store.PackedTree.Item;
 import vetchpost.store.PackedTree.Sum;
 
 /**
@@ -55,9 +57,14 @@
      *
      * @param from its first key; empty for the first of all
      * @param to before this key; null for no end
-     * @param hashes of its items, where they are told one by one; else null
+     * @param hashes of its items, 32 bits of each, where they are told one by one; else null
      */
-    public record Span(byte[] from, byte[] to, Sum sum, long[] hashes) { }
+    public record Span(byte[] from, byte[] to, Sum sum, long[] hashes) {
+        /** As much of an item's hash as is told. */
+        static long hash(Item item) {
+            return PackedTree.hash(item) & 0xFFFF_FFFFL;
+        }
+    }
 
     private static final Sum NOTHING = new Sum(0, 0);
 
--- a/src/main/java/vetchpost/replication/FrameCodec.java
+++ b/src/main/java/vetchpost/replication/FrameCodec.java
@@ -5,6 +5,7 @@
 import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.zip.DataFormatException;
 import java.util.zip.Deflater;
@@ -46,7 +47,8 @@
     private static final int ITEMS = 8;
     private static final int RAW = 9;
     private static final int NAME = 10;
-    private static final int SPAN = 11;
+    private static final int SPANS = 11;
+    private static final int RAW_SPANS = 12;
 
     private static final int S_FROM = 1;
     private static final int S_TO = 2;
@@ -84,6 +86,13 @@
                 out.writeByteArray(1, item(item));
             }
         });
+        byte[] spans = written(out -> {
+            byte[] end = null;
+            for (Span span : frame.spans()) {
+                out.writeByteArray(1, span(span, end));
+                end = span.to();
+            }
+        });
         return written(out -> {
             out.writeUInt32(TYPE, frame.type().ordinal());
             out.writeInt64(FROM, frame.from());
@@ -99,8 +108,9 @@
             if (!frame.name().isEmpty()) {
                 out.writeString(NAME, frame.name());
             }
-            for (Span span : frame.spans()) {
-                out.writeByteArray(SPAN, span(span));
+            if (spans.length > 0) {
+                out.writeByteArray(SPANS, deflated(spans));
+                out.writeUInt32(RAW_SPANS, spans.length);
             }
         });
     }
@@ -115,9 +125,12 @@
         });
     }
 
-    private static byte[] span(Span span) {
+    /** One that begins where the one before ends does not say so. */
+    private static byte[] span(Span span, byte[] before) {
         return written(out -> {
-            out.writeByteArray(S_FROM, span.from());
+            if (!Arrays.equals(span.from(), before)) {
+                out.writeByteArray(S_FROM, span.from());
+            }
             if (span.to() != null) {
                 out.writeByteArray(S_TO, span.to());
             }
@@ -125,9 +138,9 @@
             out.writeFixed64(S_HASH, span.sum().hash());
             if (span.hashes() != null) {
                 out.writeTag(S_HASHES, WireFormat.WIRETYPE_LENGTH_DELIMITED);
-                out.writeUInt32NoTag(Long.BYTES * span.hashes().length);
+                out.writeUInt32NoTag(Integer.BYTES * span.hashes().length);
                 for (long hash : span.hashes()) {
-                    out.writeFixed64NoTag(hash);
+                    out.writeFixed32NoTag((int) hash);
                 }
             }
         });
@@ -188,7 +201,8 @@
         byte[] body = null;
         int raw = 0;
         String name = "";
-        List<Span> spans = new ArrayList<>();
+        byte[] ranges = null;
+        int rawSpans = 0;
         for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
             switch (WireFormat.getTagFieldNumber(tag)) {
                 case TYPE -> type = in.readUInt32();
@@ -201,16 +215,15 @@
                 case ITEMS -> body = in.readByteArray();
                 case RAW -> raw = in.readUInt32();
                 case NAME -> name = text(in.readByteArray());
-                case SPAN -> {
-                    check(spans.size() < MOST_SPANS, "over " + MOST_SPANS + " ranges");
-                    spans.add(span(CodedInputStream.newInstance(in.readByteArray())));
-                }
+                case SPANS -> ranges = in.readByteArray();
+                case RAW_SPANS -> rawSpans = in.readUInt32();
                 default -> in.skipField(tag);
             }
         }
         check(type >= 0 && type < Type.values().length, "a frame of type " + type);
         check(from >= 0 && to >= 0 && part >= 0 && count >= 0, "a negative number");
         List<Entry> items = body == null ? List.of() : items(inflated(body, raw));
+        List<Span> spans = ranges == null ? List.of() : spans(inflated(ranges, rawSpans));
         return new Frame(Type.values()[type], from, to, part, last, new Sum(count, hash), items, name, spans);
     }
 
@@ -233,6 +246,23 @@
         return items;
     }
 
+    private static List<Span> spans(byte[] raw) throws IOException, Malformed {
+        List<Span> spans = new ArrayList<>();
+        CodedInputStream in = CodedInputStream.newInstance(raw);
+        byte[] end = null;
+        for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+            if (WireFormat.getTagFieldNumber(tag) != 1) {
+                in.skipField(tag);
+                continue;
+            }
+            check(spans.size() < MOST_SPANS, "over " + MOST_SPANS + " ranges");
+            Span span = span(CodedInputStream.newInstance(in.readByteArray()), end);
+            spans.add(span);
+            end = span.to();
+        }
+        return spans;
+    }
+
     private static Entry item(CodedInputStream in) throws IOException, Malformed {
         byte[] key = null;
         byte[] value = null;
@@ -250,8 +280,8 @@
         return new Entry(key, value, stamp);
     }
 
-    private static Span span(CodedInputStream in) throws IOException, Malformed {
-        byte[] from = new byte[0];
+    private static Span span(CodedInputStream in, byte[] before) throws IOException, Malformed {
+        byte[] from = before;
         byte[] to = null;
         long count = 0;
         long hash = 0;
@@ -264,17 +294,17 @@
                 case S_HASH -> hash = in.readFixed64();
                 case S_HASHES -> {
                     int length = in.readUInt32();
-                    check(length >= 0 && length % Long.BYTES == 0 && length <= Long.BYTES * MOST_HASHES
+                    check(length >= 0 && length % Integer.BYTES == 0 && length <= Integer.BYTES * MOST_HASHES
                             && (hashes == null), "hashes of " + length + " bytes");
-                    hashes = new long[length / Long.BYTES];
+                    hashes = new long[length / Integer.BYTES];
                     for (int i = 0; i < hashes.length; i++) {
-                        hashes[i] = in.readFixed64();
+                        hashes[i] = in.readFixed32() & 0xFFFF_FFFFL;
                     }
                 }
                 default -> in.skipField(tag);
             }
         }
-        check(from.length <= MOST_KEY && (to == null || to.length <= MOST_KEY) && count >= 0,
+        check(from != null && from.length <= MOST_KEY && (to == null || to.length <= MOST_KEY) && count >= 0,
                 "a range that is none");
         return new Span(from, to, new Sum(count, hash), hashes);
     }
--- a/src/main/java/vetchpost/replication/Publisher.java
+++ b/src/main/java/vetchpost/replication/Publisher.java
@@ -16,6 +16,7 @@
 import vetchpost.store.PackedTree;
 import vetchpost.store.PackedTree.Item;
 import vetchpost.store.PackedTree.Sum;
+import vetchpost.store.Version;
 import vetchpost.store.VersionedStore;
 
 /**
@@ -33,7 +34,7 @@
     private static final int PART = 4 << 10;
     private static final int SPLIT = 16;
     /** Ranges of so many items are told item by item. */
-    private static final int LISTED = 32;
+    private static final int LISTED = 64;
     private static final int MOST_CACHED = 256;
     private static final int MOST_REPLIES = 64;
     private static final byte[] FIRST = new byte[0];
@@ -85,11 +86,13 @@
      */
     private record Part(byte[] frame, int items, byte[] next, boolean removed) { }
 
+    private record Reply(byte[] frame, int items) { }
+
     private final class Session {
         private final Peer peer;
         private final TokenBucket bucket;
         private final TokenBucket items;
-        private final Deque<byte[]> replies = new ArrayDeque<>();
+        private final Deque<Reply> replies = new ArrayDeque<>();
         private String name = "";
         private long at = -1;
         private long saidUs;
@@ -123,16 +126,18 @@
             if (replies.size() >= MOST_REPLIES) {
                 throw new Malformed("it asks on without reading");
             }
-            replies.add(codec.write(frame));
+            replies.add(new Reply(codec.write(frame), frame.items().size()));
         }
 
         void step(long nowUs) {
             if (!replies.isEmpty()) {
-                send(replies.poll(), nowUs);
+                Reply reply = replies.poll();
+                send(reply.frame, nowUs);
+                items.spend(reply.items);
                 return;
             }
             if (next == null) {
-                if (at < store.horizon()) {
+                if (at != Version.NONE && at < store.horizon()) {
                     // It is not known any more what went away since: compared, from the whole down.
                     pinned = store;
                     comparing = true;
@@ -219,13 +224,17 @@
     }
 
     /**
-     * Takes a replica's frame; @throws Malformed if it said what no replica says: it is to be disconnected.
+     * Takes a replica's frame.
+     *
+     * @param length its bytes, which count towards the replica's budget as those that it is sent
+     * @throws Malformed if it said what no replica says: it is to be disconnected
      */
-    public void take(Peer peer, Frame frame, long nowUs) throws Malformed {
+    public void take(Peer peer, Frame frame, int length, long nowUs) throws Malformed {
         Session session = sessions.get(peer);
         if (session == null) {
             return;
         }
+        session.bucket.spend(length);
         switch (frame.type()) {
             case HELLO -> hello(session, frame);
             case COMPARE -> compare(session, frame);
@@ -308,7 +317,7 @@
             }
             if (own.count() <= LISTED) {
                 long[] hashes = tree.range(span.from(), span.to(),
-                        LISTED).stream().mapToLong(PackedTree::hash).toArray();
+                        LISTED).stream().mapToLong(Span::hash).toArray();
                 answer.add(new Span(span.from(), span.to(), own, hashes));
             } else {
                 split(tree, span, own.count(), answer);
@@ -342,7 +351,7 @@
                 wanted.add(hash);
             }
             for (Item item : session.pinned.live().range(span.from(), span.to(), LISTED)) {
-                if (wanted.contains(PackedTree.hash(item))) {
+                if (wanted.contains(Span.hash(item))) {
                     items.add(new Entry(item.key(), item.value(), item.stamp()));
                     bytes += item.key().length + item.value().length + 2 * Long.BYTES;
                 }
--- a/src/main/java/vetchpost/replication/Replica.java
+++ b/src/main/java/vetchpost/replication/Replica.java
@@ -346,7 +346,7 @@
         Set<Long> there = new HashSet<>();
         Arrays.stream(span.hashes()).forEach(there::add);
         for (Item item : draft.live.range(span.from(), span.to(), Integer.MAX_VALUE)) {
-            if (!there.remove(PackedTree.hash(item))) {
+            if (!there.remove(Span.hash(item))) {
                 // If it is there at another version, it comes with the items, and is held against this one's
                 // version.
                 gone(item);
@@ -373,7 +373,7 @@
         }
         for (Entry entry : frame.items()) {
             if (entry.value() == null || entry.stamp() > draft.to
-                    || !draft.wanted.remove(PackedTree.hash(new Item(entry.key(), entry.value(),
+                    || !draft.wanted.remove(Span.hash(new Item(entry.key(), entry.value(),
                             entry.stamp())))) {
                 throw new Malformed("an entry that was not asked for");
             }
--- a/src/main/java/vetchpost/simulation/SeedRuns.java
+++ b/src/main/java/vetchpost/simulation/SeedRuns.java
@@ -120,7 +120,8 @@
         long all = faults.values().stream().mapToLong(Long::longValue).sum();
         return String.format(Locale.ROOT, "%d seeds, %d failed, %.2f simulated hours, %d requests "
                 + "(%d of %d wants served, %d refusals), %d attempts (%d repeats), %d faults (%s), "
-                + "digest %016x", done, failed.size() + thrown.size(), simulatedSeconds() / 3_600, tried, served, wants,
+                + "digest %016x", done, failed.size() + thrown.size(), simulatedSeconds() / 3_600, tried,
+                        served, wants,
                 refused, attempts, repeats, all,
                 faults.entrySet().stream().map(e -> e.getValue() + " " + e.getKey().words())
                         .collect(Collectors.joining(", ")), digest);
--- a/src/main/java/vetchpost/simulation/scale/Hollow.java
+++ b/src/main/java/vetchpost/simulation/scale/Hollow.java
@@ -287,7 +287,7 @@
             boolean[] fine = {true};
             timed(() -> {
                 try {
-                    publisher.take(by, codec.read(bytes), us());
+                    publisher.take(by, codec.read(bytes), bytes.length, us());
                 } catch (Malformed e) {
                     fine[0] = false;
                 }
--- a/src/main/java/vetchpost/simulation/scale/ReplicationRun.java
+++ b/src/main/java/vetchpost/simulation/scale/ReplicationRun.java
@@ -216,8 +216,9 @@
         hollow.at(hollow.nowUs() + afterUs, () -> {
             machine.start();
             if (from == null) {
-                begin(machine, VersionedStore.of(old.store().live(), old.store().version()), old.index(),
-                        1_000);
+                // A control machine keeps what went away too.
+                begin(machine, controls.contains(machine) ? old.store()
+                        : VersionedStore.of(old.store().live(), old.store().version()), old.index(), 1_000);
             } else {
                 begin(machine, from, 1_000);
             }
@@ -270,7 +271,7 @@
         Configurations configurations = new Configurations(seed, 5, 20);
         Catalog start = configurations.whole(150);
         ReplicationRun run = new ReplicationRun(seed, configurations, start, 4, nodeCount,
-                new Publisher.Budget(18_000, 4_000, 1_000_000, 600), replicas, true);
+                new Publisher.Budget(18_000, 4_000, 1_000_000, 400), replicas, true);
         SplittableRandom random = run.random;
         long endUs = 60 * SECOND_US;
         for (int i = 0; i < 30; i++) {
--- a/src/main/java/vetchpost/simulation/scale/RunCommand.java
+++ b/src/main/java/vetchpost/simulation/scale/RunCommand.java
@@ -112,7 +112,7 @@
                 start.store().live().size(), start.store().live().retainedBytes() / MB,
                         start.indexBytes() / MB));
         ReplicationRun run = new ReplicationRun(seed, drawn, start, controls, nodes,
-                new Publisher.Budget(18_000, 4_000, 4_000_000, 600), Replicas.REAL, false);
+                new Publisher.Budget(18_000, 4_000, 4_000_000, 400), Replicas.REAL, false);
         play(run, start, began);
         retained(run);
         lists();
@@ -170,7 +170,8 @@
         out.printf(Locale.ROOT, "          one that was set back to the beginning is %s%n",
                 setBack.replica().store().version() == run.writer().store().version() ? "at the newest again"
                         : "still behind, at " + Version.text(setBack.replica().store().version()) + " of "
-                        + Version.text(run.writer().store().version()) + ", refused " + setBack.replica().refused());
+                        + Version.text(run.writer().store().version()) + ", refused "
+                                + setBack.replica().refused());
         spoilt(run, run.nodes().get(7));
         Machine bare = run.nodes().get(4);
         long bareUs = hollow.nowUs();
--- a/src/main/java/vetchpost/simulation/scale/Slopes.java
+++ b/src/main/java/vetchpost/simulation/scale/Slopes.java
@@ -397,8 +397,7 @@
             VersionedStore[] store = {new Configurations(1, 10, 1).whole(2_000).store()};
             long[] nowUs = {0};
             Publisher publisher = new Publisher(store[0], codec, new Publisher.Budget(18_000, 4_000, 4e6,
-                    600),
-                    5_000_000, 0);
+                    400), 5_000_000, 0);
             double[] bytes = new double[1];
             for (int i = 0; i < n; i++) {
                 Publisher.Peer peer = new Publisher.Peer() {
@@ -414,7 +413,7 @@
                 };
                 publisher.connected(peer, 0);
                 try {
-                    publisher.take(peer, codec.read(codec.write(hello(store[0]))), 0);
+                    publisher.take(peer, codec.read(codec.write(hello(store[0]))), 0, 0);
                 } catch (vetchpost.replication.Malformed e) {
                     throw new IllegalStateException(e);
                 }
@@ -443,7 +442,7 @@
         IntFunction<double[]> run = hundredths -> {
             Configurations drawn = new Configurations(3, 100, 100);
             ReplicationRun played = new ReplicationRun(3, drawn, drawn.whole(5_000), 4, 40,
-                    new Publisher.Budget(18_000, 4_000, 4e6, 600), Replicas.REAL, false);
+                    new Publisher.Budget(18_000, 4_000, 4e6, 400), Replicas.REAL, false);
             Hollow hollow = played.hollow();
             hollow.run(5_000_000);
             played.changes(hundredths / 100.0, 25_000_000);
--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -404,7 +404,8 @@
         Path socket = folder.resolve("s");
         Path file = folder.resolve("node.toml");
         String node = "[node]\nlisten = \"127.0.0.1:0\"\n[pool]\nservers = [\"" + server.address()
-                + "\"]\n[control]\nsocket = \"" + socket + "\"\naudit = \"" + folder.resolve("audit") + "\"\n";
+                + "\"]\n[control]\nsocket = \"" + socket + "\"\naudit = \"" + folder.resolve("audit")
+                        + "\"\n";
         Files.writeString(file, node);
         arguments = " serve " + file;
         run(null, "trap '' HUP && ");
--- a/src/test/java/vetchpost/replication/ReplicaTest.java
+++ b/src/test/java/vetchpost/replication/ReplicaTest.java
@@ -183,6 +183,7 @@
         Wire all = new Wire(now, VersionedStore.EMPTY);
         all.run(120_000_000);
         same(now, all);
+        assertTrue(wire.upBytes + wire.downBytes < 18_000 * 60, "both ways within its budget");
         assertTrue(wire.downBytes < all.downBytes / 2, wire.downBytes + " bytes for 300 changes, "
                 + all.downBytes
                 + " for all");
@@ -328,16 +329,16 @@
         assertThrows(Malformed.class, () -> wire.replica.take(Frame.hello("x", 1, false, first.live().sum()),
                 1));
         assertThrows(Malformed.class, () -> wire.publisher.take(wire, Frame.current(1, first.live().sum()),
-                1));
+                9, 1));
         assertThrows(Malformed.class, () -> wire.publisher.take(wire, Frame.spans(Type.WANT, 77,
                 first.live().sum(),
-                List.of()), 1));
+                List.of()), 0, 1));
         for (int i = 0; i < 64; i++) {
-            wire.publisher.take(wire, Frame.hello("x", first.version(), false, first.live().sum()), 1);
+            wire.publisher.take(wire, Frame.hello("x", first.version(), false, first.live().sum()), 0, 1);
         }
         assertThrows(Malformed.class, () -> {
             for (int i = 0; i < 64; i++) {
-                wire.publisher.take(wire, Frame.hello("x", first.version(), false, first.live().sum()), 1);
+                wire.publisher.take(wire, Frame.hello("x", first.version(), false, first.live().sum()), 0, 1);
             }
         }, "it asks on without reading");
         assertSame(first, wire.replica.store());
--- a/src/test/java/vetchpost/replication/Wire.java
+++ b/src/test/java/vetchpost/replication/Wire.java
@@ -7,7 +7,7 @@
 
 /** A replica and a publisher with frames between them that a test passes on as it likes. */
 final class Wire implements Publisher.Peer {
-    static final Publisher.Budget BUDGET = new Publisher.Budget(18_000, 4_000, 4_000_000, 600);
+    static final Publisher.Budget BUDGET = new Publisher.Budget(18_000, 4_000, 4_000_000, 400);
 
     final FrameCodec codec = new FrameCodec();
     /** Frames on their way to the replica, and to the publisher. */
@@ -17,6 +17,7 @@
     Publisher publisher;
     long nowUs;
     long downBytes;
+    long upBytes;
 
     Wire(VersionedStore at, VersionedStore replicas) {
         this(at, new Replica("node", replicas, Index.NONE, false, (store, index) -> { }));
@@ -63,7 +64,9 @@
     void ask() throws Malformed {
         for (Frame frame : List.copyOf(up)) {
             up.remove(0);
-            publisher.take(this, codec.read(codec.write(frame)), nowUs);
+            byte[] bytes = codec.write(frame);
+            upBytes += bytes.length;
+            publisher.take(this, codec.read(bytes), bytes.length, nowUs);
         }
         publisher.pump(nowUs);
     }
