--- a/src/main/java/vetchpost/simulation/scale/Slopes.java
+++ b/src/main/java/vetchpost/simulation/scale/Slopes.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.IntFunction;
 
@@ -20,6 +21,7 @@
 import vetchpost.control.Judge;
 import vetchpost.control.Leases;
 import vetchpost.control.Situation;
+import vetchpost.core.ClientRequest;
 import vetchpost.core.ServerList;
 import vetchpost.decision.Balancer.ServerEntry;
 import vetchpost.decision.Balancer.ServerState;
@@ -59,6 +61,18 @@
 final class Slopes {
     private static final int[] OF_ALL = {100, 32, 10, 3, 1};
     private static final int SERVERS_A_SERVICE = 54;
+    private static final byte[] NOTHING = new byte[0];
+    private static final vetchpost.core.Fields NO_FIELDS = new vetchpost.core.Fields() {
+        @Override
+        public String get(String name) {
+            return null;
+        }
+
+        @Override
+        public void forEach(BiConsumer<String, String> action) {
+            // There are none.
+        }
+    };
 
     private final List<Row> rows = new ArrayList<>();
     private final int largest;
@@ -246,8 +260,8 @@
                 targets[i] = String.format(Locale.ROOT, "/s%04d/r%06d/%d?x=1", route % 3_700, route, i);
             }
             int[] next = new int[1];
-            double find = Footprint.eachNs(20_000, () -> catalog.routes().find("read", "GET",
-                    targets[next[0]++ & targets.length - 1], -1));
+            double find = Footprint.eachNs(50_000, () -> policy.boundsOf(request(
+                    targets[next[0]++ & targets.length - 1])));
             Writer writer = new Writer(catalog, 1);
             Configurations drawn = new Configurations(2, 3_700, 1);
             drawn.whole(n);
@@ -269,7 +283,7 @@
                     Configurations.settings())) / 1e3;
             return new double[] {kept / 1e6, find, settle, swap, prove};
         }, "entries of routes, with the way to find them, kept", "MB",
-                "a request's route found, with its limits", "ns",
+                "a request's route found, with what it has counted", "ns",
                 "one change put together, off the loop", "us", "one change in force: the loop", "us",
                 "one change proved, at the control machine", "us");
         rows("operators' tools", "routes", 220_000, n -> file(n), "a file read and proved", "ms",
@@ -287,6 +301,10 @@
         }, "the defaults changed: all routes proved", "ms");
     }
 
+    private static ClientRequest request(String target) {
+        return new ClientRequest(1, 0, -1, 0, 0, false, "GET", target, NO_FIELDS, NOTHING);
+    }
+
     private static void require(boolean holds) {
         if (!holds) {
             throw new IllegalStateException("what was drawn is refused");
