--- a/src/main/java/vetchpost/changes/Catalog.java
+++ b/src/main/java/vetchpost/changes/Catalog.java
@@ -298,6 +298,18 @@
                 limitsChanged);
     }
 
+    /** With an entry of a tree that all of it is read from already; for a start from what was kept. */
+    public Catalog taken(byte[] key, byte[] value) {
+        Key of = Key.of(key);
+        if (of.kind() != Kind.ROUTE) {
+            return of.kind() == Kind.LIMITS ? new Catalog(settings, store, routes, byTenant, true) : this;
+        }
+        String tenant = RouteCodec.tenantOf(value);
+        return new Catalog(settings, store, routes.taken(of.name(), value), tenant == null ? byTenant
+                : byTenant.put(ownedKey(tenant, Arrays.copyOfRange(key, 1, key.length)), NOTHING, 0),
+                        limitsChanged);
+    }
+
     @Override
     public Catalog over(PackedTree live) {
         RouteTable table = routes.over(live);
--- a/src/main/java/vetchpost/control/Desk.java
+++ b/src/main/java/vetchpost/control/Desk.java
@@ -50,7 +50,7 @@
     private boolean busy;
     private Explanations explanations;
     private Consumer<Consumer<String>> reload;
-    private String remark;
+    private Supplier<String> remark = () -> null;
 
     /** Where entries are kept. */
     public interface Record {
@@ -89,8 +89,8 @@
         reload = by;
     }
 
-    /** Has its status say this besides; null for nothing. */
-    public void remark(String line) {
+    /** Has its status say this besides; what is null says nothing. */
+    public void remark(Supplier<String> line) {
         remark = line;
     }
 
@@ -325,8 +325,8 @@
         json.addProperty("overrides", leases.all().size());
         json.addProperty("frozen", leases.effects().isFrozen());
         counts.get().forEach(json::addProperty);
-        if (remark != null) {
-            json.addProperty("remark", remark);
+        if (remark.get() != null) {
+            json.addProperty("remark", remark.get());
         }
         return json.toString();
     }
--- a/src/main/java/vetchpost/daemon/Commands.java
+++ b/src/main/java/vetchpost/daemon/Commands.java
@@ -16,7 +16,8 @@
         commandListHeading = "Commands:%n")
 final class Commands implements Runnable {
     private final CommandLine line = new CommandLine(this).addSubcommand(new InitCommand())
-            .addSubcommand(new CheckCommand()).addSubcommand(new ServeCommand())
+            .addSubcommand(new CheckCommand()).addSubcommand(new ConfigCommand()).addSubcommand(
+                    new ServeCommand())
             .addSubcommand(new StateCommand()).addSubcommand(new CtlCommand())
             .addSubcommand(new SimulateCommand()).addSubcommand(new CrowdCommand())
             .addSubcommand(new FleetCommand())
--- a/src/main/java/vetchpost/daemon/ControlLoader.java
+++ b/src/main/java/vetchpost/daemon/ControlLoader.java
@@ -111,8 +111,11 @@
         desk.explanations(new Explanations(recorder, node::standing, this::situation, this::effects));
     }
 
-    /** Has the file be read again by {@code ctl} too, and {@code ctl status} say this; null for nothing. */
-    void operated(Consumer<Consumer<String>> reload, String remark) {
+    /**
+     * Has the file be read again by {@code ctl} too, and {@code ctl status} say this; what is null says
+     * nothing.
+     */
+    void operated(Consumer<Consumer<String>> reload, Supplier<String> remark) {
         desk.reloads(reload);
         desk.remark(remark);
     }
--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -90,7 +90,7 @@
             }
             node[0] = start(environment, group, loop, routes);
             if (!heard && node[0] != null) {
-                node[0].remark(DEAF);
+                node[0].remark(() -> DEAF);
             }
         });
     }
@@ -118,7 +118,7 @@
             exit("bad configuration: " + e.getMessage(), BAD_CONFIG);
             return null;
         }
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop), "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(node, loop, () -> { }), "stop"));
         node.warmUp(WARM_UP, () -> node.start(group, BY_SOCKETS, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
                 exit("can't listen: " + done.cause().getMessage(), 1);
@@ -174,7 +174,7 @@
     }
 
     /** Runs as the shutdown hook of SIGTERM; halting from it is what makes the exit code 0. */
-    static void stop(Node node, EventLoop loop) {
+    static void stop(Node node, EventLoop loop, Runnable last) {
         CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> node.stop(done::countDown));
         try {
@@ -182,6 +182,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        last.run();
         Runtime.getRuntime().halt(0);
     }
 }
--- a/src/main/java/vetchpost/daemon/ProvedFile.java
+++ b/src/main/java/vetchpost/daemon/ProvedFile.java
@@ -12,6 +12,8 @@
 
 import vetchpost.admission.AdmissionProver;
 import vetchpost.admission.AdmissionSettings;
+import vetchpost.changes.ChangesProver;
+import vetchpost.changes.ChangesSettings;
 import vetchpost.control.ControlProver;
 import vetchpost.control.ControlSettings;
 import vetchpost.decision.Balancer.Settings;
@@ -31,6 +33,7 @@
 import vetchpost.store.Change.Op;
 import vetchpost.store.Key;
 import vetchpost.store.Kind;
+import vetchpost.store.PackedTree;
 
 /**
  * An operator's file, read and proved: table by table, and again for no more than what has changed where that
@@ -40,13 +43,15 @@
  * @param node what it makes by itself; null where the platform says the rest, and where something is violated
  * @param settings that it was proved by
  * @param routes null where something is violated before they could be proved
+ * @param changes null where the routes are its own
  * @param index null if the next reading has to be of the whole
  * @param version one more at each reading that changed something
  * @param violations every one, in the order of the file
  */
 record ProvedFile(boolean hasOwn, Standalone node, Settings settings, Proof routes,
         RecoverySettings recovery,
-        AdmissionSettings admission, ControlSettings control, FileIndex index, long version,
+        AdmissionSettings admission, ControlSettings control, ChangesSettings changes, FileIndex index,
+                long version,
         List<Violation> violations) {
 
     /** Puts together what the tables come to as they are read. */
@@ -92,20 +97,34 @@
         ProvedFile end(FileIndex index) {
             if (prover == null || !violations.isEmpty()) {
                 return new ProvedFile(others.stream().anyMatch(StandaloneProver::isOwn), node, settings,
-                        null, null, null, null, index, version,
-                        violations);
+                        null, null, null, null, null, index, version, violations);
             }
             Proof routes = prover.end();
             RecoveryProver.Proof recovery = RecoveryProver.prove(others);
             AdmissionProver.Proof admission = AdmissionProver.prove(others, settings);
             ControlProver.Proof control = ControlProver.prove(others);
+            ChangesProver.Proof changes = ChangesProver.prove(others);
             violations.addAll(routes.violations());
             violations.addAll(recovery.violations());
             violations.addAll(admission.violations());
             violations.addAll(control.violations());
+            violations.addAll(changes.violations());
+            if (changes.settings() != null && node == null) {
+                violations.add(new Violation(others.stream().filter(s -> s.kind() ==
+                        Section.Kind.CHANGES).findFirst()
+                        .orElseThrow().at(), "changes", Violation.Rule.INCOMPLETE,
+                                "beside a platform routes come from "
+                        + "the file", "[node], or no [changes]"));
+            }
+            if (changes.settings() != null && routes.table() != null && routes.table().size() > 0) {
+                violations.add(new Violation(others.stream().filter(s -> s.kind() ==
+                        Section.Kind.CHANGES).findFirst()
+                        .orElseThrow().at(), "changes", Violation.Rule.UNREACHABLE, routes.table().size()
+                        + " routes of this file: they come from control machines", "no [[route]]"));
+            }
             return new ProvedFile(others.stream().anyMatch(StandaloneProver::isOwn), node, settings, routes,
                     recovery.settings(), admission.settings(),
-                    control.settings(), index, version, violations);
+                    control.settings(), changes.settings(), index, version, violations);
         }
     }
 
@@ -148,19 +167,18 @@
             return prove(path, sections -> null, this);
         }
         if (!difference.violations().isEmpty()) {
-            return new ProvedFile(hasOwn, node, settings, null, recovery, admission, control, null, version,
-                    difference.violations());
+            return new ProvedFile(hasOwn, node, settings, null, recovery, admission, control, changes, null,
+                    version, difference.violations());
         }
-        List<RouteChange> changes = changes(path, difference);
-        if (changes.isEmpty()) {
-            return new ProvedFile(hasOwn, node, settings, routes, recovery, admission, control,
-                    difference.index(),
-                    version, List.of());
+        List<RouteChange> ofRoutes = changes(path, difference);
+        if (ofRoutes.isEmpty()) {
+            return new ProvedFile(hasOwn, node, settings, routes, recovery, admission, control, changes,
+                    difference.index(), version, List.of());
         }
-        Proof changed = Prover.change(routes.table(), changes, version + 1);
+        Proof changed = Prover.change(routes.table(), ofRoutes, version + 1);
         return new ProvedFile(hasOwn, node, settings, new Proof(changed.table(), changed.routes(),
-                routes.part(),
-                changed.violations()), recovery, admission, control, difference.index(), version + 1,
+                routes.part(), changed.violations()), recovery, admission, control, changes,
+                        difference.index(), version + 1,
                 changed.violations());
     }
 
@@ -185,6 +203,32 @@
         return changes;
     }
 
+    /** Which routes differ from those of another file that holds too; none where either does not. */
+    List<RouteChange> since(ProvedFile before) {
+        List<RouteChange> changes = new ArrayList<>();
+        if (!holds() || !before.holds()) {
+            return changes;
+        }
+        byte[] first = new Key(Kind.ROUTE, "").bytes();
+        PackedTree is = routes.table().entries();
+        PackedTree was = before.routes.table().entries();
+        for (PackedTree.Item item = is.ceiling(first); item != null; item =
+                is.ceiling(PackedTree.after(item.key()))) {
+            PackedTree.Item old = was.get(item.key());
+            if (old == null || !Arrays.equals(old.value(), item.value())) {
+                changes.add(new RouteChange(old == null ? Op.PUT : Op.REPLACE, Key.of(item.key()).name(),
+                        null, null));
+            }
+        }
+        for (PackedTree.Item item = was.ceiling(first); item != null; item =
+                was.ceiling(PackedTree.after(item.key()))) {
+            if (!is.contains(item.key())) {
+                changes.add(new RouteChange(Op.DELETE, Key.of(item.key()).name(), null, null));
+            }
+        }
+        return changes;
+    }
+
     /** Whether a route says just that, whatever its lines look like. */
     private boolean says(String name, Section section) {
         try {
--- a/src/main/java/vetchpost/daemon/StandaloneMain.java
+++ b/src/main/java/vetchpost/daemon/StandaloneMain.java
@@ -41,10 +41,10 @@
         boolean heard = Hangup.handle(() -> reload(node, file, loop, told -> { }));
         if (!heard) {
             LOG.log(Level.WARNING, Main.DEAF);
-            node.node().remark(Main.DEAF);
         }
         node.operated(heard, told -> reloadAside(node, file, loop, told));
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> Main.stop(node.node(), loop), "stop"));
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> Main.stop(node.node(), loop, node::keep),
+                "stop"));
         node.start(Main.REHEARSED, () -> { }).addListener(done -> {
             if (!done.isSuccess()) {
                 Main.exit("can't listen on " + loaded.node().listen() + ": " + done.cause().getMessage(), 1);
--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -7,6 +7,7 @@
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
 
 import vetchpost.config.Config;
@@ -17,6 +18,7 @@
 import vetchpost.node.Node;
 import vetchpost.node.Seams;
 import vetchpost.routes.FileRoutePolicy;
+import vetchpost.routes.RouteTable;
 import vetchpost.conductor.Conductor;
 import vetchpost.standalone.Renewal;
 import vetchpost.standalone.Standalone;
@@ -41,6 +43,10 @@
     private final long seed;
     private ProvedFile loaded;
     private final FileRoutePolicy policy;
+    /** Null where the file has no such table. */
+    private final ChangesLoader changes;
+    /** The routes in force; the file's own, or those of control machines. */
+    private RouteTable routes;
     private SocketAddress listening;
 
     /** Not started; on the loop. Throws IllegalArgumentException if the node can't be made. */
@@ -61,7 +67,13 @@
         if (control != null) {
             control.explain(node, alone.settings());
         }
-        policy = new FileRoutePolicy(file.routes().table(), alone.settings(), seed);
+        changes = file.changes() == null ? null : new ChangesLoader(file.changes(), alone.settings(),
+                catalog -> loop.execute(() -> settle(catalog.routes())));
+        routes = changes == null ? file.routes().table() : changes.first().routes();
+        policy = new FileRoutePolicy(routes, alone.settings(), seed);
+        if (changes != null) {
+            node.remark(changes::words);
+        }
         policy(file, true);
         if (file.recovery() != null) {
             node.companion(RecoveryLoader.load(file.recovery(), alone.settings(), loop, group));
@@ -73,8 +85,14 @@
                 alone.connIdleUs(), alone.settings(), conductor.known());
     }
 
+    /** Has other routes hold from now on: one reference, whatever their number. */
+    private void settle(RouteTable table) {
+        routes = table;
+        policy.settle(routes, loaded.node().settings());
+    }
+
     private void policy(ProvedFile file, boolean starting) {
-        policy.settle(file.routes().table(), file.node().settings());
+        policy.settle(routes, file.node().settings());
         node.routes(control == null ? policy : control.before(policy,
                 file.node().settings().classes.stream().map(c -> c.name()).toList()));
         if (starting && file.routes().part() != null) {
@@ -129,8 +147,15 @@
      */
     void operated(boolean heard, Consumer<Consumer<String>> reload) {
         if (control != null) {
-            control.operated(reload, heard ? null : Main.DEAF);
+            control.operated(reload, () -> remark(heard));
         }
+        node.remark(() -> remark(heard));
+    }
+
+    /** What operators are told besides what they ask for; null for nothing. */
+    String remark(boolean heard) {
+        return changes == null ? heard ? null : Main.DEAF : heard
+                ? changes.words() : changes.words() + "; " + Main.DEAF;
     }
 
     /** Opens the client side, and asks the sources from then on. */
@@ -142,6 +167,9 @@
         binding.addListener(done -> {
             if (done.isSuccess()) {
                 listening = binding.channel().localAddress();
+                if (changes != null) {
+                    changes.begin();
+                }
                 conductor.begin(node::onList);
             }
         });
@@ -159,11 +187,20 @@
     Future<SocketAddress> reload(ProvedFile fresh) {
         if (fresh.node() == loaded.node()) {
             // Routes alone have changed, if anything: one reference, whatever their number.
-            policy.settle(fresh.routes().table(), fresh.node().settings());
             loaded = fresh;
+            if (changes == null) {
+                settle(fresh.routes().table());
+            }
             LOG.log(Level.INFO, "the file has been read again");
             return loop.<SocketAddress>newPromise().setSuccess(listening);
         }
+        if (!Objects.equals(loaded.changes(), fresh.changes())
+                || changes != null && !loaded.settings().classes.equals(fresh.settings().classes)) {
+            throw new IllegalArgumentException("[changes], and classes beside it, are as at the start: a "
+                    + "restart takes "
+                    + "them up");
+        }
+        routes = changes == null ? fresh.routes().table() : routes;
         Standalone now = fresh.node();
         Renewal renewal = Renewal.of(loaded.node(), now);
         if (renewal.core()) {
@@ -195,7 +232,17 @@
         return inForce;
     }
 
+    /** Keeps what would be lost with the process; blocks for a while at most. */
+    void keep() {
+        if (changes != null) {
+            changes.close();
+        }
+    }
+
     void close() {
+        if (changes != null) {
+            changes.close();
+        }
         if (control != null) {
             control.close();
         }
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -74,7 +74,7 @@
     private boolean heldUp;
     private String rehearsal;
     private Supplier<String> serving;
-    private String remark;
+    private Supplier<String> remark;
     private boolean ready;
     private long numbered;
     private boolean draining;
@@ -177,14 +177,15 @@
         serving = by;
     }
 
-    /** Has {@code /ready} say this besides; null for nothing. */
-    public void remark(String line) {
+    /** Has {@code /ready} say this besides; what is null says nothing. */
+    public void remark(Supplier<String> line) {
         remark = line;
     }
 
     String readyText() {
         String text = serving == null ? "ready" : "ready: " + serving.get();
-        return remark == null ? text : text + "; " + remark;
+        String more = remark == null ? null : remark.get();
+        return more == null ? text : text + "; " + more;
     }
 
     /** Every answer from here on closes its connection; new connections are still taken. */
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 import vetchpost.config.Config;
 import vetchpost.core.Admission;
@@ -362,8 +363,8 @@
         return dispatcher.standing(serverId);
     }
 
-    /** Has {@code /ready} say this besides what else it says; null for nothing. */
-    public void remark(String line) {
+    /** Has {@code /ready} say this besides what else it says; what is null says nothing. */
+    public void remark(Supplier<String> line) {
         clients.remark(line);
     }
 
--- a/src/main/java/vetchpost/replication/Frame.java
+++ b/src/main/java/vetchpost/replication/Frame.java
@@ -80,7 +80,8 @@
         return new Frame(Type.BEHIND, 0, at, 0, false, NOTHING, List.of(), "", List.of());
     }
 
-    static Frame delta(long from, long to, int part, boolean last, Sum sum, List<Entry> items) {
+    /** What has changed after one version up to another, or a part of it. */
+    public static Frame delta(long from, long to, int part, boolean last, Sum sum, List<Entry> items) {
         return new Frame(Type.DELTA, from, to, part, last, sum, items, "", List.of());
     }
 
@@ -88,7 +89,8 @@
         return new Frame(type, 0, target, 0, false, whole, List.of(), "", spans);
     }
 
-    static Frame items(long target, List<Entry> items) {
+    /** Items, as part of something that is at a version. */
+    public static Frame items(long target, List<Entry> items) {
         return new Frame(Type.ITEMS, 0, target, 0, false, NOTHING, items, "", List.of());
     }
 }
--- a/src/main/java/vetchpost/replication/Publisher.java
+++ b/src/main/java/vetchpost/replication/Publisher.java
@@ -59,8 +59,8 @@
     public record Budget(double peerPerS, double peerBurst, double allPerS, double itemsPerS) { }
 
     private final FrameCodec codec;
-    private final Budget budget;
-    private final TokenBucket all;
+    private Budget budget;
+    private TokenBucket all;
     private final long heartbeatUs;
     private final Map<Peer, Session> sessions = new LinkedHashMap<>();
     /** Sessions with something to tell, in the order in which they began to wait. */
@@ -90,8 +90,8 @@
 
     private final class Session {
         private final Peer peer;
-        private final TokenBucket bucket;
-        private final TokenBucket items;
+        private TokenBucket bucket;
+        private TokenBucket items;
         private final Deque<Reply> replies = new ArrayDeque<>();
         private String name = "";
         private long at = -1;
@@ -105,9 +105,13 @@
 
         Session(Peer peer, long nowUs) {
             this.peer = peer;
+            fill(nowUs);
+            saidUs = nowUs;
+        }
+
+        void fill(long nowUs) {
             bucket = new TokenBucket(budget.peerPerS, budget.peerBurst, nowUs);
             items = new TokenBucket(budget.itemsPerS, budget.itemsPerS / 8, nowUs);
-            saidUs = nowUs;
         }
 
         boolean hasMore() {
@@ -176,6 +180,13 @@
         all = new TokenBucket(budget.allPerS, budget.allPerS / 4, nowUs);
     }
 
+    /** Has other budgets hold from now on, full. */
+    public void budget(Budget other, long nowUs) {
+        budget = other;
+        all = new TokenBucket(budget.allPerS, budget.allPerS / 4, nowUs);
+        sessions.values().forEach(s -> s.fill(nowUs));
+    }
+
     /** What it tells. */
     public VersionedStore store() {
         return store;
--- /dev/null
+++ b/src/main/java/vetchpost/replication/disk/StoreFile.java
@@ -0,0 +1,105 @@
+package vetchpost.replication.disk;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+import vetchpost.replication.Frame;
+import vetchpost.replication.Frame.Entry;
+import vetchpost.replication.FrameCodec;
+import vetchpost.replication.Malformed;
+import vetchpost.state.codec.MalformedState;
+import vetchpost.state.disk.PieceFile;
+import vetchpost.store.PackedTree;
+import vetchpost.store.PackedTree.Item;
+import vetchpost.store.VersionedStore;
+
+/**
+ * A store on the disk: the frames by which a replica with nothing is told all, behind one with its version
+ * and sum.
+ */
+public final class StoreFile {
+    private static final byte[] MAGIC = "VPSTORE1".getBytes(StandardCharsets.US_ASCII);
+    private static final long MOST_BYTES = 256L << 20;
+    private static final int ITEMS = 400;
+    private static final int ITEMS_BYTES = 32 << 10;
+
+    private final PieceFile file;
+
+    /** In this file, and two more whose names begin with its. */
+    public StoreFile(Path path) {
+        file = new PieceFile(path, MAGIC, MOST_BYTES);
+    }
+
+    /**
+     * Writes it; blocks until it is on the disk.
+     *
+     * @return the file's length in bytes
+     */
+    public long write(VersionedStore store) throws IOException {
+        try (FrameCodec codec = new FrameCodec()) {
+            List<byte[]> pieces = new ArrayList<>();
+            pieces.add(codec.write(Frame.delta(store.horizon(), store.version(), 0, true, store.live().sum(),
+                    List.of())));
+            pieces(codec, store.live(), false, pieces);
+            pieces(codec, store.removed(), true, pieces);
+            return file.write(pieces);
+        }
+    }
+
+    private static void pieces(FrameCodec codec, PackedTree tree, boolean removed, List<byte[]> into) {
+        List<Entry> items = new ArrayList<>();
+        int bytes = 0;
+        for (Item item = tree.ceiling(new byte[0]); item != null; item =
+                tree.ceiling(PackedTree.after(item.key()))) {
+            items.add(new Entry(item.key(), removed ? null : item.value(), item.stamp()));
+            bytes += item.key().length + item.value().length;
+            if (items.size() == ITEMS || bytes > ITEMS_BYTES) {
+                into.add(codec.write(Frame.items(0, items)));
+                items = new ArrayList<>();
+                bytes = 0;
+            }
+        }
+        if (!items.isEmpty()) {
+            into.add(codec.write(Frame.items(0, items)));
+        }
+    }
+
+    /**
+     * The newest whole store of the two files, or null if there is none.
+     *
+     * @param refused hears in one line of each file that is there and can't be used
+     */
+    public VersionedStore read(Consumer<String> refused) {
+        return file.read(StoreFile::store, refused);
+    }
+
+    private static VersionedStore store(List<byte[]> pieces) throws MalformedState {
+        if (pieces.isEmpty()) {
+            throw new MalformedState("it has no beginning");
+        }
+        try (FrameCodec codec = new FrameCodec()) {
+            Frame head = codec.read(pieces.get(0));
+            PackedTree live = PackedTree.EMPTY;
+            PackedTree removed = PackedTree.EMPTY;
+            for (byte[] piece : pieces.subList(1, pieces.size())) {
+                for (Entry item : codec.read(piece).items()) {
+                    if (item.value() == null) {
+                        removed = removed.put(item.key(), new byte[0], item.stamp());
+                    } else {
+                        live = live.put(item.key(), item.value(), item.stamp());
+                    }
+                }
+            }
+            if (!live.sum().equals(head.sum()) || live.newest() > head.to()) {
+                throw new MalformedState("its entries don't come to its sum");
+            }
+            return VersionedStore.kept(live, removed, head.to(), head.from());
+        } catch (Malformed e) {
+            throw new MalformedState(e.getMessage());
+        }
+    }
+}
--- a/src/main/java/vetchpost/routes/Prover.java
+++ b/src/main/java/vetchpost/routes/Prover.java
@@ -265,7 +265,7 @@
                 case UNKNOWN -> violated(section.at(), "", Rule.UNKNOWN_TABLE, "'" + section.name()
                         + "' is no table of this file", Near.of(section.name(),
                         List.of("node", "classes", "tenants", "pool", "source", "checks", "defaults", "class",
-                        "route", "fleet", "state", "handover", "admission", "control")));
+                        "route", "fleet", "state", "handover", "admission", "control", "changes")));
                 default -> { }
             }
         }
--- a/src/main/java/vetchpost/routes/RouteTable.java
+++ b/src/main/java/vetchpost/routes/RouteTable.java
@@ -210,6 +210,13 @@
                 Fields.utf8(name), 0), without.counted(key.cls(), 1), without.routes + 1);
     }
 
+    /** With a route that is among the entries already, and not found yet. */
+    public RouteTable taken(String name, byte[] route) {
+        RouteKey key = keyOf(RouteCodec.section(route, NOWHERE));
+        return new RouteTable(rules, alone, otherwise, entries, matches.put(bytes(key, key.cls()),
+                Fields.utf8(name), 0), counted(key.cls(), 1), routes + 1);
+    }
+
     private RouteKey keyOf(Item item) {
         return keyOf(RouteCodec.section(item.value(), NOWHERE));
     }
--- a/src/main/java/vetchpost/routes/Violation.java
+++ b/src/main/java/vetchpost/routes/Violation.java
@@ -13,8 +13,8 @@
     public enum Rule {
         SYNTAX("the file is TOML"),
         UNKNOWN_TABLE("tables are [node], [classes.NAME], [tenants.NAME], [pool], [[source]], [checks], "
-                + "[defaults], [class.NAME], [[route]], [fleet], [state], [handover], [admission] and "
-                + "[control]"),
+                + "[defaults], [class.NAME], [[route]], [fleet], [state], [handover], [admission], "
+                + "[control] and [changes]"),
         UNKNOWN_KEY("keys are known"),
         WRONG_UNIT("figures have their unit"),
         OUT_OF_RANGE("figures make sense"),
--- a/src/main/java/vetchpost/routes/file/RouteFile.java
+++ b/src/main/java/vetchpost/routes/file/RouteFile.java
@@ -28,9 +28,13 @@
 public record RouteFile(List<Section> sections, List<Violation> violations) {
     /** 220,000 routes and 420,000 tenants take some 50 MiB. */
     static final long MOST_BYTES = 256L << 20;
-    private static final Map<String, Kind> TABLES = Map.of("defaults", Kind.DEFAULTS, "fleet", Kind.FLEET,
-            "state", Kind.STATE, "handover", Kind.HANDOVER, "admission", Kind.ADMISSION, "node", Kind.NODE,
-            "pool", Kind.POOL, "checks", Kind.CHECKS, "control", Kind.CONTROL);
+    private static final Map<String, Kind> TABLES = Map.ofEntries(Map.entry("defaults", Kind.DEFAULTS),
+            Map.entry("fleet", Kind.FLEET), Map.entry("state", Kind.STATE), Map.entry("handover",
+                    Kind.HANDOVER),
+            Map.entry("admission", Kind.ADMISSION), Map.entry("node", Kind.NODE), Map.entry("pool",
+                    Kind.POOL),
+            Map.entry("checks", Kind.CHECKS), Map.entry("control", Kind.CONTROL),
+            Map.entry("changes", Kind.CHANGES));
     /** Tables of tables, each with a name. */
     private static final Map<String, Kind> NAMED = Map.of("class", Kind.CLASS, "classes", Kind.REQUESTS,
             "tenants", Kind.TENANT);
--- a/src/main/java/vetchpost/simulation/scale/Hollow.java
+++ b/src/main/java/vetchpost/simulation/scale/Hollow.java
@@ -6,6 +6,7 @@
 import java.util.TreeMap;
 
 import vetchpost.replication.Choice;
+import vetchpost.replication.Following;
 import vetchpost.replication.Frame;
 import vetchpost.replication.FrameCodec;
 import vetchpost.replication.Malformed;
@@ -21,10 +22,9 @@
 final class Hollow {
     private static final long US = 1_000;
     private static final long SECOND_US = 1_000_000;
-    /** A replica that has heard nothing for so long looks for another publisher. */
-    private static final long SILENT_US = 15 * SECOND_US;
+    /** Bytes of a frame's length and tag on its way. */
+    private static final int TAG = 36;
     private static final long HEARTBEAT_US = 5 * SECOND_US;
-    private static final long CONNECT_US = 1_000;
 
     private final VirtualTime time = new VirtualTime();
     private final FrameCodec codec = new FrameCodec();
@@ -105,13 +105,11 @@
         private Publisher publisher;
         private Replica replica;
         private List<Machine> sources = List.of();
-        private Choice choice;
+        private Following following;
         private Link link;
-        private int asked = -1;
         private final List<Link> links = new ArrayList<>();
         private boolean up = true;
         private VirtualTime.Event pumping;
-        private VirtualTime.Event connecting;
         private long pumpUs = Long.MAX_VALUE;
 
         Machine(String name, int region) {
@@ -167,14 +165,47 @@
         void follow(Replica of, List<Machine> publishers, long afterUs) {
             replica = of;
             sources = publishers;
-            choice = new Choice(name, publishers.stream().map(Machine::name).toList(),
+            Choice choice = new Choice(name, publishers.stream().map(Machine::name).toList(),
                     p -> publishers.stream().anyMatch(m -> m.name.equals(p) && m.region == region));
-            later(afterUs);
+            following = new Following(of, choice, new Following.Line() {
+                @Override
+                public void open(int publisher) {
+                    Machine to = sources.get(publisher);
+                    if (!to.up || distance.us(Machine.this, to) < 0) {
+                        following.failed("nobody is there");
+                        return;
+                    }
+                    link = new Link(Machine.this, to);
+                    timed(following::opened);
+                }
+
+                @Override
+                public void send(Frame frame) {
+                    link.up(frame);
+                }
+
+                @Override
+                public void close() {
+                    unlink();
+                }
+
+                @Override
+                public long nowUs() {
+                    return us();
+                }
+
+                @Override
+                public void after(long us, Runnable task) {
+                    time.after(us * US, task);
+                }
+            });
+            following.begin(afterUs);
         }
 
         /** Dies: its connections break. */
         void kill() {
             up = false;
+            following.end();
             unlink();
             for (Link each : List.copyOf(links)) {
                 each.broken();
@@ -193,9 +224,6 @@
             if (pumping != null) {
                 pumping.cancel();
             }
-            if (connecting != null) {
-                connecting.cancel();
-            }
             pumpUs = Long.MAX_VALUE;
         }
 
@@ -203,7 +231,6 @@
             if (link != null) {
                 link.close();
                 link = null;
-                replica.disconnected();
             }
         }
 
@@ -213,71 +240,18 @@
             spent.cpu(us(), cost.nowNs() - before);
         }
 
-        private void later(long afterUs) {
-            if (connecting != null) {
-                connecting.cancel();
-            }
-            connecting = time.after(afterUs * US, this::connect);
-        }
-
-        private void connect() {
-            if (!up || link != null) {
-                return;
-            }
-            int next = choice.next(us());
-            long whenUs = choice.whenUs(next);
-            if (whenUs > us()) {
-                later(whenUs - us());
-                return;
-            }
-            asked = next;
-            Machine to = sources.get(next);
-            if (!to.up || distance.us(this, to) < 0) {
-                choice.failed(next, us());
-                later(CONNECT_US);
-                return;
-            }
-            link = new Link(this, to);
-            Link opened = link;
-            timed(() -> replica.connected(opened::up, us()));
-            look(opened);
-        }
-
-        /** Looks whether its publisher still says anything, and whether a better one is there. */
-        private void look(Link opened) {
-            time.after(SECOND_US * US, () -> {
-                if (link == opened) {
-                    if (us() - replica.heardUs() > SILENT_US) {
-                        choice.failed(asked, us());
-                        unlink();
-                        later(CONNECT_US);
-                    } else {
-                        look(opened);
-                    }
-                }
-            });
-        }
-
         private void told(Link by, byte[] bytes) {
             if (link != by) {
                 return;
             }
-            spent.bytes(us(), bytes.length);
-            boolean[] use = {true};
+            spent.bytes(us(), bytes.length + TAG);
             timed(() -> {
                 try {
-                    replica.take(codec.read(bytes), us());
-                } catch (Replica.Refused | Malformed e) {
-                    use[0] = false;
+                    following.take(codec.read(bytes));
+                } catch (Malformed e) {
+                    following.refused(e.getMessage());
                 }
             });
-            if (!use[0]) {
-                choice.failed(asked, us());
-                unlink();
-                later(CONNECT_US);
-            } else if (replica.currentUs() == us()) {
-                choice.worked(asked);
-            }
         }
 
         private void asked(Link by, byte[] bytes) {
@@ -333,7 +307,7 @@
 
         private void up(Frame frame) {
             byte[] bytes = codec.write(frame);
-            replica.spent.bytes(replica.us(), bytes.length);
+            replica.spent.bytes(replica.us(), bytes.length + TAG);
             long us = distance.us(replica, publisher);
             if (us < 0) {
                 return;
@@ -348,7 +322,7 @@
 
         @Override
         public void send(byte[] bytes) {
-            publisher.spent.bytes(publisher.us(), bytes.length);
+            publisher.spent.bytes(publisher.us(), bytes.length + TAG);
             long us = distance.us(publisher, replica);
             if (us < 0) {
                 return;
@@ -380,9 +354,7 @@
             close();
             if (was && replica.link == this) {
                 replica.link = null;
-                replica.replica.disconnected();
-                replica.choice.failed(replica.asked, replica.us());
-                replica.later(CONNECT_US);
+                replica.following.failed("it was cut off");
             }
         }
     }
--- a/src/main/java/vetchpost/simulation/scale/ScaleCommand.java
+++ b/src/main/java/vetchpost/simulation/scale/ScaleCommand.java
@@ -11,7 +11,8 @@
 @Command(name = "scale", mixinStandardHelpOptions = true, sortOptions = false,
         description = "Measures what grows with a fleet, and plays the size that is coming "
                 + "(docs/CAPACITY.md).",
-        subcommands = {SlopesCommand.class, RunCommand.class, SeedsCommand.class},
+        subcommands = {SlopesCommand.class, RunCommand.class, SeedsCommand.class, RealCommand.class,
+            ReplicaCommand.class},
         exitCodeListHeading = "Exit codes:%n",
         exitCodeList = {"0:good", "1:a budget or a rule does not hold", "2:bad arguments"})
 public final class ScaleCommand implements Callable<Integer> {
@@ -20,6 +21,6 @@
 
     @Override
     public Integer call() {
-        throw new ParameterException(spec.commandLine(), "say slopes, run or seeds; --help tells more");
+        throw new ParameterException(spec.commandLine(), "say slopes, run, seeds or real; --help tells more");
     }
 }
--- a/src/main/java/vetchpost/store/VersionedStore.java
+++ b/src/main/java/vetchpost/store/VersionedStore.java
@@ -36,6 +36,11 @@
         return new VersionedStore(live, PackedTree.EMPTY, version, version);
     }
 
+    /** As it was kept: with what went away after that horizon. */
+    public static VersionedStore kept(PackedTree live, PackedTree removed, long version, long horizon) {
+        return new VersionedStore(live, removed, version, horizon);
+    }
+
     /**
      * With a batch of changes, at that version; of several of one key the last counts. Whether the changes
      * make sense is for whoever proves them.
--- a/src/test/java/vetchpost/ArchitectureTest.java
+++ b/src/test/java/vetchpost/ArchitectureTest.java
@@ -85,6 +85,15 @@
                     "java.util.stream", "java.nio",
                     "java.nio.charset", "vetchpost.store");
 
+    /** Who is told what, and what is believed of it, is decided without a clock, a disk or a socket. */
+    @ArchTest
+    static final ArchRule REPLICATION_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
+            .that().resideInAnyPackage("vetchpost.replication", "vetchpost.changes")
+            .should().onlyDependOnClassesThat().resideInAnyPackage("java.lang..", "java.io", "java.util",
+                    "java.util.function", "java.util.stream", "java.util.zip", "java.nio.charset",
+                    "com.google.protobuf..", "vetchpost.replication", "vetchpost.changes", "vetchpost.store",
+                    "vetchpost.routes", "vetchpost.decision..");
+
     /** What is believed of old knowledge is decided without a clock, a disk or a socket. */
     @ArchTest
     static final ArchRule STATE_DECIDES_WITHOUT_INPUT_OR_OUTPUT = classes()
@@ -159,6 +168,13 @@
                     "vetchpost.operations..", "vetchpost.recorder..", "vetchpost.fastcgi..");
 
     /** A node that nothing is kept of loads nothing of this, but the name of an interface. */
+    @ArchTest
+    static final ArchRule THE_PLATFORMS_NODE_LOADS_NO_CHANGES = noClasses()
+            .that().resideInAnyPackage("vetchpost.node..", "vetchpost.core..", "vetchpost.http..",
+                    "vetchpost.discovery..", "vetchpost.config..", "vetchpost.decision..", "vetchpost.net..")
+            .should().dependOnClassesThat().resideInAnyPackage("vetchpost.store..", "vetchpost.replication..",
+                    "vetchpost.changes..");
+
     @ArchTest
     static final ArchRule A_NODE_DOES_NOT_KNOW_WHAT_GOES_ALONG_WITH_IT = noClasses()
             .that().resideInAnyPackage("vetchpost.node..", "vetchpost.core..", "vetchpost.http..",
--- a/src/test/java/vetchpost/daemon/Alone.java
+++ b/src/test/java/vetchpost/daemon/Alone.java
@@ -79,6 +79,11 @@
         return on(node::loaded);
     }
 
+    /** What {@code /ready} and {@code ctl status} would say besides. */
+    String words() throws Exception {
+        return on(() -> node.remark(true));
+    }
+
     Node.InHand inHand() throws Exception {
         return on(() -> node.node().inHand());
     }
--- /dev/null
+++ b/src/test/java/vetchpost/daemon/ChangesNodeTest.java
@@ -0,0 +1,129 @@
+package vetchpost.daemon;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import vetchpost.changes.Catalog;
+import vetchpost.changes.Writer;
+import vetchpost.replication.net.Controls;
+import vetchpost.routes.Position;
+import vetchpost.routes.RouteCodec;
+import vetchpost.routes.Section;
+import vetchpost.store.Change;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.testing.FakePeer;
+
+/** A node whose routes come from control machines, over loopback. */
+class ChangesNodeTest {
+    private static final String CLOSE = "Connection: close\r\n";
+    private static final String POST = "POST /photos/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n" + CLOSE
+            + "\r\nabcde";
+    @TempDir
+    private Path folder;
+    private FakePeer server;
+    private Writer writer;
+
+    @BeforeEach
+    void open() throws Exception {
+        server = new FakePeer(FakePeer.answer("200 OK", "", "done"));
+        Files.writeString(folder.resolve("secret"), Controls.SECRET + "\n");
+        try (Alone plain = new Alone(Alone.pool(server))) {
+            writer = new Writer(Catalog.empty(plain.loaded().settings()), 1);
+        }
+    }
+
+    @AfterEach
+    void close() throws Exception {
+        server.close();
+    }
+
+    private Alone node(Controls control) throws Exception {
+        return new Alone(file(control));
+    }
+
+    private String file(Controls control) {
+        return Alone.pool(server) + "[changes]\npublishers = [\"" + control.text() + "\"]\nsecret-file = \""
+                + folder.resolve("secret") + "\"\nfile = \"" + folder.resolve("store") + "\"\n";
+    }
+
+    private void write(Change.Op op, String path, String mostBody) {
+        Map<String, Section.Entry> entries = new LinkedHashMap<>();
+        Position at = new Position("x", 1, 1);
+        entries.put("path", new Section.Entry(path, at));
+        entries.put("max-body", new Section.Entry(mostBody, at));
+        assertEquals(List.of(), writer.submit(List.of(new Change(op, new Key(Kind.ROUTE, path),
+                op == Change.Op.DELETE
+                ? null : RouteCodec.bytes(new Section(Section.Kind.ROUTE, "", at, entries))))));
+    }
+
+    private static void until(Alone node, String beginning) throws Exception {
+        long endNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(FakePeer.PATIENCE_S);
+        String answer = node.all(POST);
+        while (!answer.startsWith(beginning)) {
+            assertTrue(System.nanoTime() < endNs, answer + " instead of " + beginning);
+            answer = node.all(POST);
+        }
+    }
+
+    @Test
+    void aChangeIsInForceAndOutlivesTheControlMachinesAndARestart() throws Exception {
+        write(Change.Op.PUT, "/photos/*", "4B");
+        Controls control = new Controls(writer.store(), Controls.SECRET, 0);
+        try (Alone node = node(control)) {
+            until(node, "HTTP/1.1 413 ");
+            write(Change.Op.REPLACE, "/photos/*", "9B");
+            control.settle(writer.store());
+            until(node, "HTTP/1.1 200 ");
+            write(Change.Op.REPLACE, "/photos/*", "3B");
+            control.settle(writer.store());
+            until(node, "HTTP/1.1 413 ");
+            assertTrue(node.all(Alone.get("/ready", CLOSE)).startsWith("HTTP/1.1 200 "));
+            control.close();
+            assertTrue(node.all(POST).startsWith("HTTP/1.1 413 "),
+                    "with nobody there it serves by what it has");
+        }
+        try (Alone again = node(control)) {
+            assertTrue(again.all(POST).startsWith("HTTP/1.1 413 "), "it begins with what it had");
+            assertTrue(again.words().contains("configuration 1.3, not confirmed since the start"),
+                    again.words());
+        }
+    }
+
+    @Test
+    void aFileSaysWhereItsRoutesComeFromAndNothingElse() throws Exception {
+        try (Controls control = new Controls(writer.store(), Controls.SECRET, 0)) {
+            for (String more : List.of("[[route]]\npath = \"/x\"\n", "[defaults]\nattempts = 2\n")) {
+                IllegalArgumentException refused = assertThrows(IllegalArgumentException.class,
+                        () -> new Alone(file(control) + more));
+                assertTrue(refused.getMessage().contains("UNREACHABLE"), refused.getMessage());
+            }
+            assertThrows(IllegalArgumentException.class, () -> new Alone(file(control).replace("127.0.0.1:"
+                    + control.address().getPort(), "nowhere")));
+            try (Alone node = node(control)) {
+                IllegalArgumentException kept = assertThrows(IllegalArgumentException.class, () -> {
+                    try {
+                        node.reload(Alone.pool(server));
+                    } catch (java.util.concurrent.ExecutionException e) {
+                        throw e.getCause();
+                    }
+                });
+                assertTrue(kept.getMessage().contains("a restart takes them up"), kept.getMessage());
+                assertTrue(node.all(POST).startsWith("HTTP/1.1 200 "));
+            }
+        }
+    }
+}
--- a/src/test/java/vetchpost/daemon/CommandsTest.java
+++ b/src/test/java/vetchpost/daemon/CommandsTest.java
@@ -156,4 +156,31 @@
         assertEquals(2, Commands.run("drive"));
         assertEquals(2, Commands.run("check"));
     }
+
+    @Test
+    void configDiffShowsWhatAReloadWouldChange() throws Exception {
+        String node = "[node]\nlisten = \"127.0.0.1:0\"\n[pool]\nservers = [\"127.0.0.1:9\"]\n";
+        String a = "[[route]]\npath = \"/a\"\n";
+        String b = "[[route]]\npath = \"/b\"\nconcurrency = 5\n";
+        Path old = Files.writeString(folder.resolve("old.toml"), node + a + b);
+        Path fresh = Files.writeString(folder.resolve("new.toml"), node + b.replace("5", "6")
+                + "[[route]]\npath = \"/c\"\n");
+        assertEquals(0, run(new ConfigCommand(), "diff", old.toString(), fresh.toString()));
+        assertEquals(List.of("delete route /a", "put route /c", "replace route /b"),
+                out.toString().lines().sorted()
+                .toList());
+        out.getBuffer().setLength(0);
+        Files.writeString(fresh, node + a + b + a);
+        assertEquals(1, run(new ConfigCommand(), "diff", old.toString(), fresh.toString()));
+        assertTrue(out.toString().contains("new.toml:10:1: route /a")
+                && out.toString().contains("1 violation"),
+                out.toString());
+        out.getBuffer().setLength(0);
+        Files.writeString(fresh, node.replace(":9", ":10") + a + b);
+        assertEquals(0, run(new ConfigCommand(), "diff", old.toString(), fresh.toString()));
+        assertEquals("more than routes has changed: a reload reads all of it\n", out.toString());
+        assertEquals(2, run(new ConfigCommand(), "diff", folder.resolve("none").toString(),
+                fresh.toString()));
+        assertEquals(2, run(new ConfigCommand()));
+    }
 }
--- /dev/null
+++ b/src/test/java/vetchpost/replication/disk/StoreFileTest.java
@@ -0,0 +1,78 @@
+package vetchpost.replication.disk;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+import vetchpost.store.Change;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.Version;
+import vetchpost.store.VersionedStore;
+
+/** A store on the disk is read as it was, or not at all. */
+class StoreFileTest {
+    @TempDir
+    private Path folder;
+
+    private static VersionedStore store(int entries) {
+        List<Change> changes = new ArrayList<>();
+        for (int i = 0; i < entries; i++) {
+            changes.add(Change.put(new Key(Kind.ROUTE, "/route/" + i), new byte[i % 90]));
+        }
+        return VersionedStore.EMPTY.with(changes, Version.of(1,
+                1)).with(List.of(Change.delete(new Key(Kind.ROUTE,
+                "/route/3")), Change.put(new Key(Kind.TENANT, "ann"), new byte[9])), Version.of(2, 7));
+    }
+
+    private static void same(VersionedStore a, VersionedStore b) {
+        assertEquals(a.version(), b.version());
+        assertEquals(a.horizon(), b.horizon());
+        assertEquals(a.live().sum(), b.live().sum());
+        assertEquals(a.removed().sum(), b.removed().sum());
+    }
+
+    @Test
+    void itIsReadAsItWasWritten() throws Exception {
+        StoreFile file = new StoreFile(folder.resolve("store"));
+        assertNull(file.read(line -> { }));
+        for (int entries : new int[] {4, 5_000}) {
+            VersionedStore store = store(entries);
+            file.write(store);
+            same(store, file.read(line -> { }));
+        }
+    }
+
+    @Test
+    void oneThatIsSpoiltIsPassedOverForTheOneBefore() throws Exception {
+        Path path = folder.resolve("store");
+        StoreFile file = new StoreFile(path);
+        VersionedStore before = store(50);
+        file.write(before);
+        file.write(store(60));
+        byte[] good = Files.readAllBytes(path);
+        SplittableRandom random = new SplittableRandom(1);
+        for (int i = 0; i < 300; i++) {
+            byte[] spoilt = good.clone();
+            if (i % 2 == 0) {
+                spoilt[random.nextInt(spoilt.length)] ^= (byte) (1 << random.nextInt(8));
+            } else {
+                spoilt = java.util.Arrays.copyOf(spoilt, random.nextInt(spoilt.length));
+            }
+            Files.write(path, spoilt);
+            List<String> refused = new ArrayList<>();
+            same(before, file.read(refused::add));
+            assertEquals(1, refused.size());
+            assertTrue(refused.get(0).contains("is passed over"), refused.get(0));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/vetchpost/replication/net/Controls.java
@@ -0,0 +1,69 @@
+package vetchpost.replication.net;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.security.SecureRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+
+import vetchpost.handover.Secret;
+import vetchpost.net.Network;
+import vetchpost.replication.Publisher;
+import vetchpost.store.VersionedStore;
+
+/** A control machine's publisher on a port of its own. */
+public final class Controls implements AutoCloseable {
+    public static final String SECRET = "a secret that is long enough for anybody";
+    private static final long PATIENCE_S = 30;
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1,
+            NioIoHandler.newFactory());
+    private final EventLoop loop = group.next();
+    private final PublisherServer server;
+    private final InetSocketAddress address;
+
+    /** Tells this, to whoever knows that secret. */
+    public Controls(VersionedStore store, String secret, int port) throws Exception {
+        server = on(() -> new PublisherServer(loop, Network.SYSTEM, Secret.ofText(secret),
+                new SecureRandom(), store,
+                new Publisher.Budget(1e6, 1e6, 1e7, 1e6)));
+        address = (InetSocketAddress) on(() -> server.listen(group, new InetSocketAddress(
+                InetAddress.getLoopbackAddress(), port))).sync().channel().localAddress();
+    }
+
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    public String text() {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    public void settle(VersionedStore store) throws Exception {
+        on(() -> {
+            server.settle(store);
+            return null;
+        });
+    }
+
+    public int peers() throws Exception {
+        return on(() -> server.publisher().peers());
+    }
+
+    private <T> T on(Callable<T> task) throws Exception {
+        return loop.submit(task).get(PATIENCE_S, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() {
+        if (group.isShuttingDown()) {
+            return;
+        }
+        loop.submit(server::close).awaitUninterruptibly(PATIENCE_S, TimeUnit.SECONDS);
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    }
+}
