--- /dev/null
+++ b/src/test/java/vetchpost/replication/PublisherTest.java
@@ -0,0 +1,237 @@
+package vetchpost.replication;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+import vetchpost.replication.Frame.Type;
+import vetchpost.store.Change;
+import vetchpost.store.Key;
+import vetchpost.store.Kind;
+import vetchpost.store.Version;
+import vetchpost.store.VersionedStore;
+
+/** What a publisher spends on whom, and when. */
+class PublisherTest {
+    private static final long SECOND = 1_000_000;
+    private static final long HEARTBEAT = 5 * SECOND;
+
+    private final FrameCodec codec = new FrameCodec();
+
+    @AfterEach
+    void close() {
+        codec.close();
+    }
+
+    /** A replica that keeps what it was sent. */
+    private final class Peer implements Publisher.Peer {
+        private final List<Frame> got = new ArrayList<>();
+        private final List<byte[]> raw = new ArrayList<>();
+        private boolean writable = true;
+        private long bytes;
+
+        @Override
+        public void send(byte[] frame) {
+            assertTrue(writable, "sent to one that does not read");
+            bytes += frame.length;
+            raw.add(frame);
+            try {
+                got.add(codec.read(frame));
+            } catch (Malformed e) {
+                throw new AssertionError(e);
+            }
+        }
+
+        @Override
+        public boolean isWritable() {
+            return writable;
+        }
+
+        private void says(Publisher publisher, VersionedStore at, long nowUs) throws Malformed {
+            publisher.take(this, Frame.hello("a", at.version(), false, at.live().sum()), 0, nowUs);
+        }
+
+        private long items() {
+            return got.stream().mapToLong(f -> f.items().size()).sum();
+        }
+    }
+
+    private static VersionedStore store(int entries) {
+        return VersionedStore.EMPTY.with(IntStream.range(0, entries).mapToObj(i -> Change.put(new Key(Kind.ROUTE,
+                "/r" + i), new byte[50])).toList(), Version.of(1, 1));
+    }
+
+    private static VersionedStore changed(VersionedStore store, int count) {
+        return store.with(IntStream.range(0, count).mapToObj(i -> Change.replace(new Key(Kind.ROUTE, "/r" + i),
+                new byte[] {(byte) i, (byte) (i >> 8)})).toList(), store.version() + 1);
+    }
+
+    private Publisher publisher(VersionedStore store, Publisher.Budget budget) {
+        return new Publisher(store, codec, budget, HEARTBEAT, 0);
+    }
+
+    /** Pumps as its owner would: when it asks for it. */
+    private static long run(Publisher publisher, long fromUs, long untilUs) {
+        long nowUs = fromUs;
+        while (nowUs < untilUs) {
+            long nextUs = publisher.pump(nowUs);
+            nowUs = Math.max(nowUs + 1, nextUs);
+        }
+        return untilUs;
+    }
+
+    @Test
+    void bytesToOneReplicaArePaced() throws Exception {
+        VersionedStore first = store(20_000);
+        Publisher publisher = publisher(changed(first, 20_000), new Publisher.Budget(10_000, 2_000, 1e9, 1e9));
+        Peer peer = new Peer();
+        publisher.connected(peer, 0);
+        peer.says(publisher, first, 0);
+        for (int second = 1; second <= 5; second++) {
+            run(publisher, (second - 1) * SECOND, second * SECOND);
+            // What was saved up, and a frame that may be more than there was.
+            assertTrue(peer.bytes <= 10_000L * second + 2_000 + 6_000, peer.bytes + " bytes after " + second + " s");
+            assertTrue(peer.bytes >= 9_000L * second, peer.bytes + " bytes after " + second + " s");
+        }
+    }
+
+    @Test
+    void entriesToOneReplicaArePacedToo() throws Exception {
+        VersionedStore first = store(5_000);
+        Publisher publisher = publisher(changed(first, 5_000), new Publisher.Budget(1e9, 1e9, 1e9, 400));
+        Peer peer = new Peer();
+        publisher.connected(peer, 0);
+        peer.says(publisher, first, 0);
+        run(publisher, 0, 5 * SECOND);
+        assertTrue(peer.items() >= 1_900 && peer.items() <= 2_400, peer.items() + " entries in 5 s");
+    }
+
+    @Test
+    void whatAReplicaSaysCountsTowardsItsBudget() throws Exception {
+        VersionedStore first = store(100);
+        Publisher publisher = publisher(first, new Publisher.Budget(10_000, 2_000, 1e9, 1e9));
+        Peer peer = new Peer();
+        publisher.connected(peer, 0);
+        publisher.take(peer, Frame.hello("a", first.version(), false, first.live().sum()), 32_000, 0);
+        publisher.pump(0);
+        assertEquals(0, peer.bytes);
+        run(publisher, 0, 2 * SECOND);
+        assertEquals(0, peer.bytes, "it has not paid back yet");
+        run(publisher, 2 * SECOND, 4 * SECOND);
+        assertTrue(peer.bytes > 0);
+    }
+
+    @Test
+    void allTogetherHaveABudgetAndNobodyIsLeftOut() throws Exception {
+        VersionedStore first = store(2_000);
+        Publisher publisher = publisher(changed(first, 2_000), new Publisher.Budget(1e9, 1e9, 40_000, 1e9));
+        List<Peer> peers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            Peer peer = new Peer();
+            peers.add(peer);
+            publisher.connected(peer, 0);
+            peer.says(publisher, first, 0);
+        }
+        run(publisher, 0, 2 * SECOND);
+        long all = peers.stream().mapToLong(p -> p.bytes).sum();
+        assertTrue(all <= 2 * 40_000 + 10_000 + 6_000 && all > 70_000, all + " bytes");
+        long least = peers.stream().mapToLong(p -> p.raw.size()).min().orElseThrow();
+        long most = peers.stream().mapToLong(p -> p.raw.size()).max().orElseThrow();
+        assertTrue(most - least <= 1, "from " + least + " to " + most + " frames");
+        assertEquals(all, publisher.sentBytes());
+    }
+
+    /** And nothing is kept for it meanwhile but where it is. */
+    @Test
+    void oneThatDoesNotReadIsToldTheNewestLater() throws Exception {
+        VersionedStore now = store(10);
+        Publisher publisher = publisher(now, new Publisher.Budget(1e9, 1e9, 1e9, 1e9));
+        Peer peer = new Peer();
+        publisher.connected(peer, 0);
+        peer.says(publisher, now, 0);
+        run(publisher, 0, 1);
+        peer.got.clear();
+        peer.writable = false;
+        for (int i = 0; i < 1_000; i++) {
+            now = now.with(List.of(Change.replace(new Key(Kind.ROUTE, "/r1"), new byte[] {(byte) i, 1})),
+                    now.version() + 1);
+            publisher.settle(now);
+            publisher.pump(i);
+        }
+        assertEquals(List.of("a"), publisher.behind());
+        peer.writable = true;
+        publisher.pump(2_000);
+        assertEquals(1, peer.got.size());
+        assertEquals(1, peer.got.get(0).items().size());
+        assertEquals(now.version(), peer.got.get(0).to());
+        publisher.settle(store(10));
+        assertEquals(now.version(), publisher.store().version(), "an older one is passed over");
+    }
+
+    @Test
+    void whoHasAllHearsSoNowAndThenAndWhoIsAheadHearsThat() throws Exception {
+        VersionedStore first = store(10);
+        VersionedStore second = changed(first, 1);
+        Publisher publisher = publisher(first, new Publisher.Budget(1e9, 1e9, 1e9, 1e9));
+        Peer peer = new Peer();
+        Peer ahead = new Peer();
+        publisher.connected(peer, 0);
+        publisher.connected(ahead, 0);
+        peer.says(publisher, first, 0);
+        ahead.says(publisher, second, 0);
+        run(publisher, 0, 21 * SECOND);
+        assertEquals(5, peer.got.stream().filter(f -> f.type() == Type.CURRENT).count());
+        assertEquals(List.of(Type.BEHIND), ahead.got.stream().map(Frame::type).toList());
+        publisher.disconnected(ahead);
+        assertEquals(1, publisher.peers());
+        publisher.take(ahead, Frame.hello("b", 0, false, first.live().sum()), 0, 0);
+        assertEquals(1, ahead.got.size(), "one that has gone is told nothing more");
+    }
+
+    @Test
+    void replicasAtTheSameVersionAreToldTheSameBytes() throws Exception {
+        VersionedStore first = store(500);
+        Publisher publisher = publisher(changed(first, 400), new Publisher.Budget(1e9, 1e9, 1e9, 1e9));
+        Peer one = new Peer();
+        Peer two = new Peer();
+        for (Peer peer : List.of(one, two)) {
+            publisher.connected(peer, 0);
+            peer.says(publisher, first, 0);
+        }
+        publisher.pump(0);
+        assertTrue(one.raw.size() > 2);
+        for (int i = 0; i < one.raw.size(); i++) {
+            assertTrue(one.raw.get(i) == two.raw.get(i), "part " + i + " was made twice");
+        }
+    }
+
+    @Test
+    void comparisonsAreBounded() {
+        VersionedStore first = store(10);
+        Publisher publisher = publisher(first, new Publisher.Budget(1e9, 1e9, 1e9, 1e9));
+        Peer peer = new Peer();
+        publisher.connected(peer, 0);
+        List<Frame.Span> many = IntStream.range(0, 17).mapToObj(i -> new Frame.Span(new byte[] {(byte) i}, null,
+                first.live().sum(), null)).toList();
+        assertThrows(Malformed.class, () -> publisher.take(peer, Frame.spans(Type.COMPARE, 0, first.live().sum(), many),
+                0, 0));
+        assertThrows(Malformed.class, () -> publisher.take(peer, Frame.spans(Type.COMPARE, 99, first.live().sum(),
+                many.subList(0, 1)), 0, 0));
+    }
+
+    @Test
+    void aBucketSavesUpNoMoreThanItMayAndPaysBackWhatWasTooMuch() {
+        TokenBucket bucket = new TokenBucket(100, 50, 0);
+        assertTrue(bucket.hasAny(10 * SECOND));
+        bucket.spend(150);
+        assertEquals(11 * SECOND + 10_000, bucket.againUs(10 * SECOND), 10_000);
+        assertTrue(!bucket.hasAny(10 * SECOND + 900_000) && bucket.hasAny(11 * SECOND + 20_000));
+    }
+}
