Keep a node's store by its stop alone, and block no loop for it

Closing a node waited for the disk on whatever thread closed it, which may be the requests' loop. The shutdown hook keeps the store; closing waits for nothing. A test reloads a file while changes come.

--- a/src/main/java/vetchpost/daemon/ChangesLoader.java
+++ b/src/main/java/vetchpost/daemon/ChangesLoader.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.security.SecureRandom;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
@@ -146,20 +147,28 @@
         return what + age + (trouble.isEmpty() ? "" : " (" + trouble + ")");
     }
 
-    @Override
-    public void close() {
+    /** Keeps what it has now; blocks for a while at most, so not on the requests' loop. */
+    void keepNow() {
+        CountDownLatch done = new CountDownLatch(1);
         loop.execute(() -> {
-            client.close();
             keep();
-            disk.shutdown();
+            disk.execute(done::countDown);
         });
         try {
-            if (!disk.awaitTermination(STOP_S, TimeUnit.SECONDS)) {
+            if (!done.await(STOP_S, TimeUnit.SECONDS)) {
                 LOG.log(Level.WARNING, "the store may not have been kept");
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+    }
+
+    @Override
+    public void close() {
+        loop.execute(() -> {
+            client.close();
+            disk.shutdown();
+        });
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
 }
--- a/src/main/java/vetchpost/daemon/StandaloneNode.java
+++ b/src/main/java/vetchpost/daemon/StandaloneNode.java
@@ -235,7 +235,7 @@
     /** Keeps what would be lost with the process; blocks for a while at most. */
     void keep() {
         if (changes != null) {
-            changes.close();
+            changes.keepNow();
         }
     }
 
--- a/src/test/java/vetchpost/daemon/Alone.java
+++ b/src/test/java/vetchpost/daemon/Alone.java
@@ -141,6 +141,7 @@
 
     @Override
     public void close() {
+        node.keep();
         loop.submit(node::close).awaitUninterruptibly(PATIENCE_MS);
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
     }
--- a/src/test/java/vetchpost/daemon/ChangesNodeTest.java
+++ b/src/test/java/vetchpost/daemon/ChangesNodeTest.java
@@ -103,6 +103,32 @@
         }
     }
 
+    /**
+     * Both ways in which routes come into force, at once: the file's other parts, and changes on their way.
+     */
+    @Test
+    void aReloadWhileChangesAreComingLosesNone() throws Exception {
+        write(Change.Op.PUT, "/photos/*", "9B");
+        try (Controls control = new Controls(writer.store(), Controls.SECRET,
+                0); Alone node = node(control)) {
+            until(node, "HTTP/1.1 200 ");
+            for (int i = 0; i < 20; i++) {
+                write(Change.Op.PUT, "/other/" + i, "1B");
+                control.settle(writer.store());
+                node.reload(file(control).replace("connect-timeout = \"2s\"",
+                        "connect-timeout = \"2s\"\ngrace = \""
+                        + (i + 1) + "s\""));
+            }
+            write(Change.Op.REPLACE, "/photos/*", "4B");
+            control.settle(writer.store());
+            until(node, "HTTP/1.1 413 ");
+            for (int i = 0; i < 20; i++) {
+                assertTrue(node.all(POST.replace("/photos/1", "/other/" + i)).startsWith("HTTP/1.1 413 "),
+                        "route " + i);
+            }
+        }
+    }
+
     @Test
     void aFileSaysWhereItsRoutesComeFromAndNothingElse() throws Exception {
         try (Controls control = new Controls(writer.store(), Controls.SECRET, 0)) {
--- a/src/test/java/vetchpost/daemon/ReadAgainTest.java
+++ b/src/test/java/vetchpost/daemon/ReadAgainTest.java
@@ -46,13 +46,15 @@
     private static Set<String> said(ProvedFile file) {
         Set<String> said = new TreeSet<>();
         // Which of two that are the same is named depends on which was there before.
-        file.violations().forEach(v -> said.add(v.rule().name().replace("SAME_NAME", "SAME").replace("SAME_MATCH", "SAME")));
+        file.violations().forEach(v -> said.add(v.rule().name().replace("SAME_NAME",
+                "SAME").replace("SAME_MATCH", "SAME")));
         return said;
     }
 
     @Test
     void theSameIsRefusedAndTheSameHoldsHoweverAFileCameToBe() throws Exception {
-        String usual = "[node]\nlisten = \"127.0.0.1:0\"\n[tenants.ann]\n[pool]\nservers = [\"127.0.0.1:9\"]\n";
+        String usual = "[node]\nlisten = \"127.0.0.1:0\"\n[tenants.ann]\n[pool]\nservers = "
+                + "[\"127.0.0.1:9\"]\n";
         Path path = folder.resolve("f.toml");
         Path other = folder.resolve("g.toml");
         for (int seed = 0; seed < 150; seed++) {
@@ -73,14 +75,17 @@
                         next.add(next.remove(0));
                     }
                 }
-                String head = random.nextInt(8) == 0 ? "[defaults]\nretry-budget = 0." + random.nextInt(1, 9) + "\n" + usual
+                String head = random.nextInt(8) == 0 ? "[defaults]\nretry-budget = 0." + random.nextInt(1,
+                        9) + "\n" + usual
                         : usual;
                 Files.writeString(path, file(head, next));
                 Files.writeString(other, file(head, next));
                 ProvedFile whole = ProvedFile.prove(other, sections -> null, null);
-                ProvedFile again = held == null ? ProvedFile.prove(path, sections -> null, null) : held.again(path);
+                ProvedFile again = held == null ? ProvedFile.prove(path, sections -> null,
+                        null) : held.again(path);
                 quick += held != null && again.node() == held.node() ? 1 : 0;
-                assertEquals(said(whole), said(again), () -> "\n" + file(head, next) + whole.violations() + "\n"
+                assertEquals(said(whole), said(again), () -> "\n" + file(head,
+                        next) + whole.violations() + "\n"
                         + again.violations());
                 if (!whole.holds()) {
                     refused++;
--- a/src/test/java/vetchpost/replication/FollowingTest.java
+++ b/src/test/java/vetchpost/replication/FollowingTest.java
@@ -94,7 +94,8 @@
         }
     }
 
-    private final Replica replica = new Replica("n", VersionedStore.EMPTY, Index.NONE, false, (store, index) -> { });
+    private final Replica replica = new Replica("n", VersionedStore.EMPTY, Index.NONE, false, (store,
+            index) -> { });
     private final Choice choice = new Choice("n", List.of("a", "b", "c"));
     private final Line line = new Line();
     private final Following following = new Following(replica, choice, line);
@@ -143,7 +144,8 @@
         int first = line.opened.size();
         assertTrue(first > 20 && first < 120, first + " times in a minute");
         line.run(60 * SECOND);
-        assertTrue(line.opened.size() - first < 60, line.opened.size() - first + " times in the second minute");
+        assertTrue(line.opened.size() - first < 60, line.opened.size() - first
+                + " times in the second minute");
         line.there.add(own);
         line.run(6 * SECOND);
         assertTrue(following.isUp());
@@ -163,7 +165,8 @@
 
     @Test
     void oneThatIsBehindIsLeft() {
-        Replica ahead = new Replica("n", VersionedStore.of(PackedTree.EMPTY, 7), Index.NONE, false, (s, i) -> { });
+        Replica ahead = new Replica("n", VersionedStore.of(PackedTree.EMPTY, 7), Index.NONE, false, (s,
+                i) -> { });
         Line other = new Line();
         Following[] self = new Following[1];
         Following.Line seen = new Following.Line() {
--- a/src/test/java/vetchpost/replication/PublisherTest.java
+++ b/src/test/java/vetchpost/replication/PublisherTest.java
@@ -64,12 +64,14 @@
     }
 
     private static VersionedStore store(int entries) {
-        return VersionedStore.EMPTY.with(IntStream.range(0, entries).mapToObj(i -> Change.put(new Key(Kind.ROUTE,
+        return VersionedStore.EMPTY.with(IntStream.range(0, entries).mapToObj(i -> Change.put(new Key(
+                Kind.ROUTE,
                 "/r" + i), new byte[50])).toList(), Version.of(1, 1));
     }
 
     private static VersionedStore changed(VersionedStore store, int count) {
-        return store.with(IntStream.range(0, count).mapToObj(i -> Change.replace(new Key(Kind.ROUTE, "/r" + i),
+        return store.with(IntStream.range(0, count).mapToObj(i -> Change.replace(new Key(Kind.ROUTE,
+                "/r" + i),
                 new byte[] {(byte) i, (byte) (i >> 8)})).toList(), store.version() + 1);
     }
 
@@ -90,14 +92,16 @@
     @Test
     void bytesToOneReplicaArePaced() throws Exception {
         VersionedStore first = store(20_000);
-        Publisher publisher = publisher(changed(first, 20_000), new Publisher.Budget(10_000, 2_000, 1e9, 1e9));
+        Publisher publisher = publisher(changed(first, 20_000), new Publisher.Budget(10_000, 2_000, 1e9,
+                1e9));
         Peer peer = new Peer();
         publisher.connected(peer, 0);
         peer.says(publisher, first, 0);
         for (int second = 1; second <= 5; second++) {
             run(publisher, (second - 1) * SECOND, second * SECOND);
             // What was saved up, and a frame that may be more than there was.
-            assertTrue(peer.bytes <= 10_000L * second + 2_000 + 6_000, peer.bytes + " bytes after " + second + " s");
+            assertTrue(peer.bytes <= 10_000L * second + 2_000 + 6_000,
+                    peer.bytes + " bytes after " + second + " s");
             assertTrue(peer.bytes >= 9_000L * second, peer.bytes + " bytes after " + second + " s");
         }
     }
@@ -218,11 +222,14 @@
         Publisher publisher = publisher(first, new Publisher.Budget(1e9, 1e9, 1e9, 1e9));
         Peer peer = new Peer();
         publisher.connected(peer, 0);
-        List<Frame.Span> many = IntStream.range(0, 17).mapToObj(i -> new Frame.Span(new byte[] {(byte) i}, null,
+        List<Frame.Span> many = IntStream.range(0, 17).mapToObj(i -> new Frame.Span(new byte[] {(byte) i},
+                null,
                 first.live().sum(), null)).toList();
-        assertThrows(Malformed.class, () -> publisher.take(peer, Frame.spans(Type.COMPARE, 0, first.live().sum(), many),
+        assertThrows(Malformed.class, () -> publisher.take(peer, Frame.spans(Type.COMPARE, 0,
+                first.live().sum(), many),
                 0, 0));
-        assertThrows(Malformed.class, () -> publisher.take(peer, Frame.spans(Type.COMPARE, 99, first.live().sum(),
+        assertThrows(Malformed.class, () -> publisher.take(peer, Frame.spans(Type.COMPARE, 99,
+                first.live().sum(),
                 many.subList(0, 1)), 0, 0));
     }
 
--- a/src/test/java/vetchpost/simulation/scale/ScaleCommandTest.java
+++ b/src/test/java/vetchpost/simulation/scale/ScaleCommandTest.java
@@ -54,7 +54,8 @@
         assertEquals(2, run("slopes", "--part", "0"));
         assertEquals(2, run("seeds", "--seeds", "0"));
         assertEquals(2, run("real", "--processes", "0"));
-        assertEquals(2, run("replica", "--publisher", "127.0.0.1:1", "--secret-file", "/nowhere", "--name", "x"));
+        assertEquals(2, run("replica", "--publisher", "127.0.0.1:1", "--secret-file", "/nowhere", "--name",
+                "x"));
         assertEquals(2, run());
     }
 
