--- a/src/test/java/vetchpost/replication/disk/StoreFileTest.java
+++ b/src/test/java/vetchpost/replication/disk/StoreFileTest.java
@@ -13,6 +13,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
+import vetchpost.replication.Frame;
+import vetchpost.replication.FrameCodec;
+import vetchpost.state.disk.PieceFile;
 import vetchpost.store.Change;
 import vetchpost.store.Key;
 import vetchpost.store.Kind;
@@ -52,6 +55,24 @@
         }
     }
 
+    /** Its checksum fits, and its entries are not those of its sum. */
+    @Test
+    void oneWhoseEntriesAreNotWhatItSaysIsPassedOver() throws Exception {
+        Path path = folder.resolve("store");
+        VersionedStore store = store(3);
+        VersionedStore other = store(5);
+        try (FrameCodec codec = new FrameCodec()) {
+            new PieceFile(path, "VPSTORE1".getBytes(java.nio.charset.StandardCharsets.US_ASCII),
+                    1 << 20).write(List.of(
+                    codec.write(Frame.delta(0, store.version(), 0, true, other.live().sum(), List.of())),
+                    codec.write(Frame.items(0, store.live().range(null, null, 9).stream().map(i ->
+                            new Frame.Entry(i.key(), i.value(), i.stamp())).toList()))));
+        }
+        List<String> refused = new ArrayList<>();
+        assertNull(new StoreFile(path).read(refused::add));
+        assertTrue(refused.get(0).endsWith("its entries don't come to its sum"), refused.get(0));
+    }
+
     @Test
     void oneThatIsSpoiltIsPassedOverForTheOneBefore() throws Exception {
         Path path = folder.resolve("store");
--- a/src/test/java/vetchpost/routes/FileRoutePolicyTest.java
+++ b/src/test/java/vetchpost/routes/FileRoutePolicyTest.java
@@ -107,6 +107,11 @@
                 new Position("f", 1, 1))), 3).table();
         policy.settle(third, ProverTest.settings());
         assertFalse(at(policy, "/view-page/one").mayRepeat());
+        // Another class says something else: that is nothing to this route.
+        RouteTable aside = table("[class.add-photo]\nconcurrency = 5\n" + ONE, third, 4);
+        policy.settle(aside, ProverTest.settings());
+        assertFalse(at(policy, "/view-page/one").mayRepeat(),
+                "its budget is back for a change of another class");
         // With other defaults each route has other limits.
         policy.settle(table("[defaults]\nconcurrency = 5\n" + ONE, third, 4), ProverTest.settings());
         assertTrue(at(policy, "/view-page/one").mayRepeat());
--- a/src/test/java/vetchpost/routes/file/FileIndexTest.java
+++ b/src/test/java/vetchpost/routes/file/FileIndexTest.java
@@ -140,6 +140,16 @@
         assertEquals(1, index.again(write(text + "[[route]]\npath = \n")).violations().size());
     }
 
+    @Test
+    void textsOverSeveralLinesDoNotHaveAFileReadAsAWhole() throws Exception {
+        for (String text : List.of("\"\"\"\n[[route]]\n\\\"\"\"\"", "\'\'\'\n[defaults]\n\'\'\'",
+                "[\n1,\n[2]\n]")) {
+            Read read = read("[[route]]\npath = \"/a\"\nname = " + text + "\n[[route]]\npath = \"/b\"\n");
+            assertEquals(2, read.routes.size(), text);
+            assertEquals(text.startsWith("[") ? null : text, read.index == null ? null : text);
+        }
+    }
+
     @Test
     void aFileThatChangesWhileItIsReadIsNotBelieved() throws Exception {
         Path file = write("[[route]]\npath = \"/a\"\n");
