--- a/review/1/StuckHeads.java
+++ b/review/2/StuckHeads.java
@@ -22,7 +22,7 @@
             lab.server("s-" + i, i / 5, Lab.serves(20));
         }
         Lab.Discovery discovery = lab.new Discovery();
-        Lab.Node node = lab.new Node(discovery.socket.getLocalPort(), Lab.settings(), "");
+        Lab.Node node = lab.new Node(discovery.socket.getLocalPort(), Lab.settings());
         if (!node.awaitReady(30_000)) {
             return 2;
         }
--- a/review/lab/Lab.java
+++ b/review/lab/Lab.java
@@ -239,14 +239,11 @@
         final ServerSocket socket;
         final List<Socket> connections = new CopyOnWriteArrayList<>();
 
-        /** While it is false, new connections wait in the system's queue. */
-        volatile boolean accepting = true;
-
-        Server(String uid, int cell, int backlog, Behaviour behaviour) throws IOException {
+        Server(String uid, int cell, int listenPort, Behaviour behaviour) throws IOException {
             this.uid = uid;
             this.cell = cell;
             this.behaviour = behaviour;
-            socket = new ServerSocket(0, backlog, LOOPBACK);
+            socket = new ServerSocket(listenPort, 1024, LOOPBACK);
             port = socket.getLocalPort();
             threads.execute(this::accept);
         }
@@ -255,9 +252,6 @@
             try {
                 while (true) {
                     Socket connection = socket.accept();
-                    while (!accepting) {
-                        sleep(1);
-                    }
                     connection.setTcpNoDelay(true);
                     connections.add(connection);
                     threads.execute(() -> serve(connection));
@@ -296,11 +290,11 @@
     }
 
     Server server(String uid, int cell, Behaviour behaviour) throws IOException {
-        return server(uid, cell, 1024, behaviour);
+        return server(uid, cell, 0, behaviour);
     }
 
-    Server server(String uid, int cell, int backlog, Behaviour behaviour) throws IOException {
-        Server server = new Server(uid, cell, backlog, behaviour);
+    Server server(String uid, int cell, int listenPort, Behaviour behaviour) throws IOException {
+        Server server = new Server(uid, cell, listenPort, behaviour);
         servers.add(server);
         return server;
     }
@@ -441,22 +435,40 @@
 
     /** A node in a process of its own. */
     final class Node {
-        final int port = freePort();
-        final Path configFile = temp.resolve("config-" + port + ".json");
-        final Path logFile = temp.resolve("node-" + port + ".log");
+        final int port;
+        final Path logFile;
         final Process process;
 
-        Node(int discoveryPort, Map<String, String> settings, String arguments) throws IOException {
+        /** A node of the platform. */
+        Node(int discoveryPort, Map<String, String> settings) throws IOException {
+            port = freePort();
+            Path configFile = temp.resolve("config-" + port + ".json");
             Files.writeString(configFile, config(port, discoveryPort, settings));
+            logFile = temp.resolve("node-" + port + ".log");
+            process = start("", configFile);
+        }
+
+        /** A node that listens on this port by the file that the arguments name. */
+        Node(int port, String arguments) throws IOException {
+            this.port = port;
+            logFile = temp.resolve("node-" + port + ".log");
+            process = start(arguments, null);
+        }
+
+        private Process start(String arguments, Path configFile) throws IOException {
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", runCommand() + arguments);
             builder.directory(root().toFile());
-            builder.environment().put("LB_CONFIG", configFile.toString());
+            builder.environment().remove("LB_CONFIG");
+            if (configFile != null) {
+                builder.environment().put("LB_CONFIG", configFile.toString());
+            }
             builder.environment().put("LB_NAME", "n0");
             builder.environment().put("TMPDIR", temp.toString());
             builder.redirectErrorStream(true).redirectOutput(logFile.toFile());
-            process = builder.start();
-            log("node %d started as process %d", port, process.pid());
+            Process started = builder.start();
+            log("node %d started as process %d", port, started.pid());
             nodes.add(this);
+            return started;
         }
 
         boolean awaitReady(double withinMs) throws IOException {
@@ -478,6 +490,19 @@
             return false;
         }
 
+        /** A node by itself has no path of its own to ask: it is ready some time after it listens. */
+        boolean awaitListening(double withinMs) throws IOException {
+            double end = ms() + withinMs;
+            while (ms() < end && process.isAlive()) {
+                if (Files.readString(logFile, StandardCharsets.ISO_8859_1).contains("listening on")) {
+                    log("node %d listens", port);
+                    return true;
+                }
+                sleep(20);
+            }
+            return false;
+        }
+
         void signal(String name) throws IOException {
             log("SIG%s to the node", name);
             try {
