Move the node process of MainTest into a test fixture of its own

The next test needs a node as a process too. MainTest keeps its assertions; launch, await, connect and killAndReadOutput are in NodeProcess.

--- a/src/test/java/vetchpost/daemon/MainTest.java
+++ b/src/test/java/vetchpost/daemon/MainTest.java
@@ -7,19 +7,15 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.io.StringWriter;
-import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,16 +23,13 @@
 import picocli.CommandLine;
 import vetchpost.testing.FakePeer;
 import vetchpost.testing.Fixture;
-import vetchpost.testing.ProcessOutput;
 
 /** The node as a separate process: start, signals, exit codes, and exhausted descriptors and memory. */
 @Timeout(120)
 class MainTest {
     private FakePeer discovery;
     private FakePeer server;
-    private Process process;
-    private ProcessOutput output;
-    private int port;
+    private NodeProcess node;
     private String arguments = "";
     private String heap = "64m";
     private volatile long downloaded;
@@ -49,8 +42,8 @@
 
     @AfterEach
     void close() throws Exception {
-        if (process != null) {
-            assertTrue(process.destroyForcibly().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS));
+        if (node != null) {
+            assertTrue(node.process().destroyForcibly().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS));
         }
         discovery.close();
         server.close();
@@ -60,71 +53,12 @@
         config.addProperty("listen", "127.0.0.1:0");
         Path file = Fixture.write(config);
         launch(file.toString(), before);
-        await("/ready");
+        node.await("/ready");
         return file;
     }
 
     private void launch(String config, String before) throws IOException {
-        // Without slf4j, a test dependency that would replace the process's logging.
-        String path = Arrays.stream(
-                        System.getProperty("surefire.test.class.path", System.getProperty("java.class.path"))
-                                .split(File.pathSeparator))
-                .filter(jar -> !jar.contains("slf4j"))
-                .collect(Collectors.joining(File.pathSeparator));
-        ProcessBuilder builder = new ProcessBuilder(
-                "/bin/sh",
-                "-c",
-                before + "exec \"$JAVA\" -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xmx" + heap
-                        + " -cp \"$JARS\" "
-                        + "vetchpost.daemon.Main" + arguments);
-        Path java = Path.of(System.getProperty("java.home"), "bin", "java");
-        builder.environment().put("JAVA", java.toString());
-        builder.environment().put("JARS", path);
-        builder.environment().remove("LB_CONFIG");
-        builder.environment().remove("LB_LISTEN");
-        builder.environment().remove("LB_DISCOVERY");
-        if (config != null) {
-            builder.environment().put("LB_CONFIG", config);
-        }
-        process = builder.redirectErrorStream(true).start();
-        output = new ProcessOutput(process.getInputStream());
-        port = 0;
-    }
-
-    private String killAndReadOutput() {
-        // Through the handle, because Process.destroyForcibly would close the output that is not read yet.
-        process.toHandle().destroyForcibly();
-        try {
-            return output.readAll();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            return e.toString();
-        }
-    }
-
-    private Socket connect() throws IOException {
-        Socket socket = new Socket(InetAddress.getLoopbackAddress(), port);
-        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(FakePeer.TIMEOUT_S));
-        return socket;
-    }
-
-    private void await(String path) throws Exception {
-        if (port == 0) {
-            // The system chooses the port, because a port found free in advance may be taken by now.
-            port = Integer.parseInt(output.restOfLine("listening on /127.0.0.1:"));
-        }
-        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(60);
-        String answer = "";
-        while (answer == null || !answer.startsWith("HTTP/1.1 200")) {
-            assertTrue(process.isAlive() && System.nanoTime() < until, "never ready");
-            try (Socket socket = connect()) {
-                FakePeer.write(socket, "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n");
-                answer = FakePeer.read(socket);
-            } catch (IOException e) {
-                // Not listening yet; on a busy machine the process may start slowly.
-                process.waitFor(20, TimeUnit.MILLISECONDS);
-            }
-        }
+        node = new NodeProcess(before, "-Xmx" + heap, arguments, config);
     }
 
     /** A node that starts without a server list must serve from the snapshot of its predecessor. */
@@ -138,14 +72,14 @@
         JsonObject config = Fixture.config(discovery, server);
         start(config, "");
         for (int round = 0; round < 2; round++) {
-            try (Socket client = connect()) {
+            try (Socket client = node.connect()) {
                 FakePeer.write(client, Fixture.request("GET", "/view/1", round, "", ""));
                 String answer = FakePeer.read(client);
                 assertTrue(answer != null && answer.endsWith("done"), answer);
             }
-            process.destroy();
-            assertTrue(process.waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "the process is still running");
-            assertEquals(0, process.exitValue());
+            node.process().destroy();
+            assertTrue(node.process().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "the process is still running");
+            assertEquals(0, node.process().exitValue());
             assertTrue(Files.size(snapshotFile) > 100, "the snapshot is saved at the stop");
             if (round == 0) {
                 config.add("known", JsonParser.parseString(Fixture.list(0, true, "Ready")));
@@ -164,27 +98,27 @@
     void sigtermAnswersPendingRequestAndExitsZero() throws Exception {
         server.script(FakePeer.SILENT);
         start(Fixture.config(discovery, server), "");
-        Socket idle = connect();
-        Socket client = connect();
+        Socket idle = node.connect();
+        Socket client = node.connect();
         FakePeer.write(client, Fixture.request("POST", "/order", 1, "", "x"));
         server.nextRequest();
         Socket attempt = FakePeer.takeWithTimeout(server.accepted);
-        process.destroy();
+        node.process().destroy();
         // New connections are still served for a while.
-        Socket late = connect();
+        Socket late = node.connect();
         FakePeer.write(late, "GET /nothing HTTP/1.1\r\n\r\n");
         assertTrue(FakePeer.read(late).startsWith("HTTP/1.1 404"), "a late connection is not served");
         assertNull(FakePeer.read(idle), "an idle connection is closed after a while");
         // Only the request's deadline of 20 s bounds it, and not the stop.
-        assertFalse(process.waitFor(4, TimeUnit.SECONDS), "exited with a pending request");
+        assertFalse(node.process().waitFor(4, TimeUnit.SECONDS), "exited with a pending request");
         FakePeer.write(attempt, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone");
         String answer = FakePeer.read(client);
         assertTrue(answer.startsWith("HTTP/1.1 200") && answer.endsWith("done"), answer);
         assertEquals("close", FakePeer.header(answer, "Connection"));
         assertTrue(
-                process.waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS),
+                node.process().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS),
                 "the process is still running after the response");
-        assertEquals(0, process.exitValue());
+        assertEquals(0, node.process().exitValue());
     }
 
     @Test
@@ -208,7 +142,7 @@
             sendSighup();
             discovery.nextRequest();
             FakePeer.takeWithTimeout(next.closedByClient);
-            try (Socket client = connect()) {
+            try (Socket client = node.connect()) {
                 FakePeer.write(client, Fixture.request("GET", "/view", 1, "", ""));
                 assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 200"));
             }
@@ -218,13 +152,13 @@
     private void sendSighup() throws Exception {
         assertEquals(
                 0,
-                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                new ProcessBuilder("kill", "-HUP", Long.toString(node.process().pid()))
                         .start()
                         .waitFor());
     }
 
     private void awaitLine(String part) throws InterruptedException {
-        output.await(part);
+        node.output().await(part);
     }
 
     @Test
@@ -232,13 +166,13 @@
         // The configured limit of sockets exceeds the system's limit of descriptors.
         Path file = start(Fixture.config(discovery, server), "ulimit -n 100 && ");
         // Loads the classes first: here they are files that need descriptors, unlike those of an open jar.
-        try (Socket before = connect()) {
+        try (Socket before = node.connect()) {
             FakePeer.write(before, Fixture.request("GET", "/view", 0, "", ""));
             assertTrue(FakePeer.read(before).startsWith("HTTP/1.1 200"), "not served before");
         }
         List<Socket> sockets = new ArrayList<>();
         for (int i = 0; i < 200; i++) {
-            sockets.add(connect());
+            sockets.add(node.connect());
         }
         // Idle connections are closed, so that each new request gets a response; pending requests stay.
         Socket asking = sockets.get(sockets.size() - 1);
@@ -246,7 +180,7 @@
         String answer = FakePeer.read(asking);
         assertTrue(
                 answer != null && answer.startsWith("HTTP/1.1 "),
-                () -> answer + " while descriptors are short: " + killAndReadOutput());
+                () -> answer + " while descriptors are short: " + node.killAndReadOutput());
         // Logging must not need a descriptor either.
         Files.writeString(file, "{");
         sendSighup();
@@ -254,7 +188,7 @@
         for (Socket socket : sockets) {
             socket.close();
         }
-        try (Socket after = connect()) {
+        try (Socket after = node.connect()) {
             FakePeer.write(after, Fixture.request("GET", "/view", 2, "", ""));
             assertTrue(FakePeer.read(after).startsWith("HTTP/1.1 200"), "not served afterwards");
         }
@@ -266,7 +200,7 @@
         start(Fixture.config(discovery, server), "");
         List<Socket> sockets = new ArrayList<>();
         for (int i = 0; i < 150; i++) {
-            Socket socket = connect();
+            Socket socket = node.connect();
             sockets.add(socket);
             try {
                 FakePeer.write(socket, Fixture.request("POST", "/order", i, "", "x"));
@@ -279,12 +213,12 @@
                 continue;
             }
         }
-        await("/ready");
+        node.await("/ready");
         for (Socket socket : sockets) {
             socket.close();
         }
-        assertTrue(process.isAlive());
-        String log = killAndReadOutput();
+        assertTrue(node.process().isAlive());
+        String log = node.killAndReadOutput();
         assertFalse(log.contains("OutOfMemory"), log);
     }
 
@@ -314,13 +248,13 @@
         arguments = " serve --routes " + routes;
         Files.writeString(routes, "[class.order]\nattempts = 2\nmax-body = \"3B\"\n");
         launch(Fixture.write(Fixture.config(discovery, server)).toString(), "");
-        String log = output.readAll();
-        assertTrue(process.waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "still running");
-        assertEquals(2, process.exitValue(), log);
+        String log = node.output().readAll();
+        assertTrue(node.process().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "still running");
+        assertEquals(2, node.process().exitValue(), log);
         assertTrue(log.contains(routes + ":2:1: class order: ") && log.contains("UNSAFE_AGAIN"), log);
         Files.writeString(routes, "[class.order]\nmax-body = \"3B\"\n");
         start(Fixture.config(discovery, server), "");
-        try (Socket client = connect()) {
+        try (Socket client = node.connect()) {
             FakePeer.write(client, Fixture.request("POST", "/order/1", 1, "", "four"));
             assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 413"), "the route's limit is not in force");
             FakePeer.write(client, Fixture.request("GET", "/view/../order", 2, "", ""));
@@ -347,9 +281,9 @@
 
     private void assertConfigurationRejected(String config, String expectedText) throws Exception {
         launch(config, "");
-        String log = output.readAll();
-        assertTrue(process.waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "still running");
-        assertEquals(2, process.exitValue(), log);
+        String log = node.output().readAll();
+        assertTrue(node.process().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "still running");
+        assertEquals(2, node.process().exitValue(), log);
         assertTrue(log.contains(expectedText) && log.lines().count() == 1, log);
     }
 
@@ -363,7 +297,7 @@
         arguments = " serve " + file;
         heap = "40m";
         launch(null, "");
-        await("/");
+        node.await("/");
         byte[] chunk = new byte[1 << 16];
         server.script((socket, request) -> {
             if (request.startsWith("GET")) {
@@ -378,7 +312,7 @@
             }
         });
         Thread down = new Thread(() -> {
-            try (Socket client = connect()) {
+            try (Socket client = node.connect()) {
                 FakePeer.write(client, "GET /down HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
                 long left = gigabyte;
                 byte[] into = new byte[1 << 16];
@@ -391,7 +325,7 @@
             }
         });
         down.start();
-        try (Socket client = connect()) {
+        try (Socket client = node.connect()) {
             FakePeer.write(client, "PUT /up HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
             for (long left = gigabyte; left > 0; left -= chunk.length) {
                 FakePeer.write(client, "10000\r\n");
@@ -404,7 +338,7 @@
         down.join(TimeUnit.SECONDS.toMillis(FakePeer.TIMEOUT_S));
         assertFalse(down.isAlive(), "the download has not finished");
         assertTrue(downloaded > gigabyte, downloaded + " bytes");
-        assertTrue(process.isAlive());
+        assertTrue(node.process().isAlive());
     }
 
     /** Under nohup and some supervisors SIGHUP is ignored, and the runtime keeps it so; ctl must still reload. */
@@ -413,25 +347,25 @@
         Path folder = Files.createTempDirectory("sighup");
         Path socket = folder.resolve("s");
         Path file = folder.resolve("node.toml");
-        String node = "[node]\nlisten = \"127.0.0.1:0\"\n[pool]\nservers = [\"" + server.address()
+        String settings = "[node]\nlisten = \"127.0.0.1:0\"\n[pool]\nservers = [\"" + server.address()
                 + "\"]\n[control]\nsocket = \"" + socket + "\"\naudit = \"" + folder.resolve("audit")
                 + "\"\n";
-        Files.writeString(file, node);
+        Files.writeString(file, settings);
         arguments = " serve " + file;
         launch(null, "trap '' HUP && ");
         awaitLine("SIGHUP is ignored");
-        await("/");
+        node.await("/");
         assertTrue(ctl(0, socket, "status").contains("SIGHUP is ignored"));
-        Files.writeString(file, node + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4\"\n");
+        Files.writeString(file, settings + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4\"\n");
         assertTrue(ctl(1, socket, "reload").contains("WRONG_UNIT"));
-        Files.writeString(file, node + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4B\"\n");
+        Files.writeString(file, settings + "[[route]]\npath = \"/photos/*\"\nmax-body = \"4B\"\n");
         ctl(0, socket, "reload");
-        try (Socket client = connect()) {
+        try (Socket client = node.connect()) {
             FakePeer.write(client, "POST /photos/1 HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nabcde");
             assertTrue(FakePeer.read(client).startsWith("HTTP/1.1 413 "));
         }
-        process.destroy();
-        assertTrue(process.waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "the process is still running");
+        node.process().destroy();
+        assertTrue(node.process().waitFor(FakePeer.TIMEOUT_S, TimeUnit.SECONDS), "the process is still running");
         try (var files = Files.list(folder)) {
             for (Path each : files.toList()) {
                 Files.delete(each);
@@ -457,7 +391,7 @@
     @Test
     void readyReportsIgnoredSighup() throws Exception {
         start(Fixture.config(discovery, server), "trap '' HUP && ");
-        try (Socket client = connect()) {
+        try (Socket client = node.connect()) {
             FakePeer.write(client, "GET /ready HTTP/1.1\r\nHost: a\r\n\r\n");
             String answer = FakePeer.read(client);
             assertTrue(answer.contains("SIGHUP is ignored"), answer);
@@ -468,7 +402,7 @@
     @Test
     void listensOnlyAfterWarmUp() throws Exception {
         start(Fixture.config(discovery, server), "");
-        String log = killAndReadOutput();
+        String log = node.killAndReadOutput();
         int warming = log.indexOf("warming up");
         assertTrue(warming >= 0 && warming < log.indexOf("listening on"), log);
     }
