Reserve memory for unfinished requests, and limit the fields of a head

Cause: the decoder keeps some 152 bytes for each header line, and RequestMemory counted a head only when it was complete. A class histogram of the stuck node shows 255,485 header entries with their strings in 38 of 40 MB of heap.

Change: a head has at most 128 fields, the 129th is answered 431 at once; head, undecoded input and body are reserved while they arrive, by field and by byte, and what there is no memory for gets 503. A rejected connection frees its unfinished head at once.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -66,7 +66,10 @@
     private final long connectionId;
     private HttpReply pendingReply;
     private long pendingCostBytes;
-    private long partialCostBytes;
+    /** Memory of the request that is being received. */
+    private final RequestMemory.Reservation partialMemory;
+
+    private long partialBodyBytes;
     private long requestStartNs;
     private long lastResponseNs;
     private int unwrittenResponses;
@@ -86,6 +89,7 @@
     private ClientConnection(ClientServer server, Channel channel) {
         this.server = server;
         this.channel = channel;
+        partialMemory = server.requestMemory().newReservation();
         readAhead = new ReadAhead(server.requestMemory(), MAX_READ_AHEAD_BYTES);
         openedNs = server.nanos();
         connectionId = server.nextConnectionId();
@@ -193,8 +197,8 @@
             server.requestMemory().release(request.costBytes);
         }
         pipelined.clear();
-        server.requestMemory().release(partialCostBytes + pendingCostBytes);
-        partialCostBytes = 0;
+        partialMemory.release();
+        server.requestMemory().release(pendingCostBytes);
         pendingCostBytes = 0;
         if (pendingReply != null) {
             HttpReply abandonedReply = pendingReply;
@@ -206,14 +210,15 @@
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
         long now = server.nanos();
-        server.requestMemory().release(partialCostBytes);
-        partialCostBytes = 0;
+        partialMemory.release();
+        partialBodyBytes = 0;
         if (inputDiscarder.isDiscarding() || !(message instanceof FullHttpRequest http)) {
             ReferenceCountUtil.release(message);
             return;
         }
         long costBytes = RequestMemory.costOf(
                 http.decoderResult() instanceof HttpMessageDecoderResult size ? size.totalSize() : 0,
+                http.headers().size(),
                 http.content().readableBytes());
         if (!server.requestMemory().tryReserve(costBytes)) {
             http.release();
@@ -252,6 +257,14 @@
                 server.log().write("begun", connectionId);
             }
         }
+        if (!inputDiscarder.isDiscarding() && !tryReservePartialRequest(decoder.undecodedBytes())) {
+            rejectAndClose(OVERLOADED);
+        }
+    }
+
+    /** Reserves the memory that the partly received request takes by now; returns false if there is not enough. */
+    private boolean tryReservePartialRequest(long undecodedBytes) {
+        return partialMemory.tryResize(decoder.decodedHeadBytes() + partialBodyBytes + undecodedBytes);
     }
 
     private void startRequest(FullHttpRequest http, long arrivedNs, long costBytes) {
@@ -351,6 +364,7 @@
      */
     private void rejectAndClose(BadRequest e) {
         inputDiscarder.startDiscarding();
+        decoder.discardPartialRequest(channel.pipeline());
         if (pendingReply != null || !pipelined.isEmpty() || closingAfterWrite) {
             return;
         }
@@ -475,12 +489,16 @@
         public void channelRead(ChannelHandlerContext ctx, Object message) throws Exception {
             int bytes =
                     message instanceof HttpContent content ? content.content().readableBytes() : 0;
-            if (inputDiscarder.isDiscarding() || !server.requestMemory().tryReserve(bytes)) {
+            if (inputDiscarder.isDiscarding()) {
+                ReferenceCountUtil.release(message);
+                return;
+            }
+            partialBodyBytes += bytes;
+            if (!tryReservePartialRequest(0)) {
                 ReferenceCountUtil.release(message);
                 rejectAndClose(OVERLOADED);
                 return;
             }
-            partialCostBytes += bytes;
             super.channelRead(ctx, message);
         }
 
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -100,6 +100,9 @@
     private long bodyLength;
     private long streamedBytes;
     private long reservedBytes;
+    /** Memory of the head that is being received. */
+    private final RequestMemory.Reservation partialHeadMemory;
+
     private BodyRemainder remainder;
     private WebReply reply;
     private boolean keepAlive;
@@ -127,6 +130,7 @@
         openedNs = server.nanos();
         idleSinceNs = openedNs;
         connectionId = server.nextConnectionId();
+        partialHeadMemory = server.requestMemory().newReservation();
     }
 
     /** Adds the handlers of a new connection to its pipeline. */
@@ -240,6 +244,24 @@
         } else if (headStartedNs == 0) {
             headStartedNs = server.nanos();
         }
+        reservePartialHead();
+    }
+
+    /** Reserves the memory of a partly received head; without enough of it no further input is accepted. */
+    private void reservePartialHead() {
+        if (discarder.isDiscarding()) {
+            return;
+        }
+        long decodedBytes = decoder.isMidHead() ? decoder.decodedHeadBytes() : 0;
+        if (partialHeadMemory.tryResize(decodedBytes + decoder.undecodedBytes())) {
+            return;
+        }
+        if (reply == null) {
+            reject(overloaded());
+        } else {
+            discardInput();
+            decoder.discardPartialRequest(channel.pipeline());
+        }
     }
 
     private static int sizeOf(HttpObject part) {
@@ -330,7 +352,8 @@
             return true;
         }
         openedOverLimit = false;
-        reservedBytes = RequestMemory.costOf(headBytes(request), 0);
+        reservedBytes =
+                RequestMemory.costOf(headBytes(request), request.headers().size(), 0);
         if (!server.requestMemory().tryReserve(reservedBytes)) {
             reservedBytes = 0;
             reject(overloaded());
@@ -510,6 +533,7 @@
         }
         discardInput();
         lingering = true;
+        decoder.discardPartialRequest(channel.pipeline());
         FullHttpResponse response = e.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 ? HttpReply.serviceUnavailable(e.getMessage(), server.retryAfterUs())
                 : HttpReply.plain(e.status(), e.getMessage());
@@ -613,7 +637,7 @@
 
     /** Called when the response has been written. */
     private void onResponseWritten(boolean last) {
-        if (phase == Phase.STREAMING || last || server.isClosing()) {
+        if (phase == Phase.STREAMING || last || server.isClosing() || discarder.isDiscarding()) {
             lingering = true;
             discardInput();
             linger();
@@ -658,6 +682,7 @@
         while (!queuedParts.isEmpty()) {
             removeFirstPart();
         }
+        partialHeadMemory.release();
         server.requestMemory().release(reservedBytes);
         reservedBytes = 0;
         BodySink target = remainder == null || phase != Phase.STREAMING ? null : remainder.sink;
--- a/src/test/java/vetchpost/http/ClientConnectionTest.java
+++ b/src/test/java/vetchpost/http/ClientConnectionTest.java
@@ -189,6 +189,63 @@
         assertEquals(0, pendingReplies.size());
     }
 
+    private void writeInbound(String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.ISO_8859_1));
+        channel.runPendingTasks();
+    }
+
+    private static String headerFields(int fields, int valueLength) {
+        return ("X-Field: " + "x".repeat(valueLength) + "\r\n").repeat(fields);
+    }
+
+    /** Guards against heads whose decoded fields take many times the memory of their text. */
+    @Test
+    void rejectsUnfinishedHeadWithTooManyFields() {
+        writeInbound("GET /view HTTP/1.1\r\n" + headerFields(HeaderFieldLimit.MAX_FIELDS, 1));
+        assertEquals("", readResponses());
+        writeInbound(headerFields(1, 1));
+        assertTrue(readResponses().startsWith("HTTP/1.1 431 "));
+    }
+
+    /** Guards against unfinished requests whose memory nobody counts. */
+    @Test
+    void reservesMemoryForUnfinishedRequest() {
+        writeInbound("POST /order HTTP/1.1\r\n" + headerFields(50, 100));
+        long afterFields = server.pendingRequestBytes();
+        assertTrue(afterFields > 50 * (100 + 150), afterFields + " bytes for 50 fields");
+        writeInbound("X-Unfinished: " + "x".repeat(5_000));
+        long afterLine = server.pendingRequestBytes();
+        assertTrue(afterLine > afterFields + 5_000, afterLine + " bytes with a line of 5,000");
+        writeInbound("\r\nContent-Length: 9000\r\n\r\n" + "x".repeat(8_000));
+        long afterBody = server.pendingRequestBytes();
+        assertTrue(afterBody > afterFields + 5_000 + 8_000, afterBody + " bytes with a body of 8,000");
+    }
+
+    @Test
+    void rejectsUnfinishedHeadWhenMemoryIsExhausted() {
+        long reserved = server.requestMemory().maxBytes() - 10_000;
+        assertTrue(server.requestMemory().tryReserve(reserved));
+        writeInbound("GET /view HTTP/1.1\r\n" + headerFields(5, 100));
+        assertEquals("", readResponses());
+        writeInbound(headerFields(50, 100));
+        assertTrue(readResponses().startsWith("HTTP/1.1 503 "));
+        server.requestMemory().release(reserved);
+    }
+
+    @Test
+    void answersEarlierRequestWhenMemoryForNextHeadIsExhausted() {
+        sendRequest(1);
+        long reserved = server.requestMemory().maxBytes() - server.pendingRequestBytes() - 10_000;
+        assertTrue(server.requestMemory().tryReserve(reserved));
+        writeInbound("GET /view HTTP/1.1\r\n" + headerFields(50, 100));
+        pendingReplies.get(0).served(new ServerResponse(200, null, new byte[0]));
+        String response = readResponses();
+        assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+        assertEquals("close", FakePeer.header(response, "Connection"));
+        assertFalse(channel.isOpen());
+        server.requestMemory().release(reserved);
+    }
+
     @Test
     void answersPendingRequestOnHandlerError() {
         sendRequest(1);
