Limit the header fields of servers' responses

Now the 129th field makes the response malformed and closes its connection.

ServerPoolTest#reportsResetOnUnfinishedHeadWithTooManyFields waits 30 s in vain before and passes now.

--- a/src/main/java/vetchpost/http/ResponseReader.java
+++ b/src/main/java/vetchpost/http/ResponseReader.java
@@ -29,8 +29,9 @@
 
     private static final byte[] EMPTY_BODY = {};
 
-    /** Netty's decoder without its leniency towards ambiguous header lines. */
+    /** Netty's decoder without its leniency towards ambiguous header lines and many header fields. */
     static final class Decoder extends HttpResponseDecoder {
+        private final HeaderFieldLimit fieldLimit = new HeaderFieldLimit();
         /** Whether the response being read answers a HEAD request. */
         private boolean headRequest;
 
@@ -49,8 +50,15 @@
             return headRequest || super.isContentAlwaysEmpty(message);
         }
 
+        @Override
+        protected HttpMessage createMessage(String[] statusLine) {
+            fieldLimit.reset();
+            return super.createMessage(statusLine);
+        }
+
         @Override
         protected AsciiString splitHeaderName(byte[] line, int start, int length) {
+            fieldLimit.add();
             // Netty also ends a header name at white space, and then accepts it without a colon.
             if (line[start + length] != ':') {
                 throw new IllegalArgumentException("no colon after a header name");
--- a/src/test/java/vetchpost/http/ServerPoolTest.java
+++ b/src/test/java/vetchpost/http/ServerPoolTest.java
@@ -213,6 +213,15 @@
                         .result());
     }
 
+    /** Guards against response heads whose decoded fields take many times the memory of their text. */
+    @Test
+    void reportsResetOnUnfinishedHeadWithTooManyFields() throws Exception {
+        String fields = "a:b\r\n".repeat(HeaderFieldLimit.MAX_FIELDS + 1);
+        assertEquals(
+                Result.RESET,
+                resultFor(FakePeer.raw("HTTP/1.1 200 OK\r\n" + fields)).result());
+    }
+
     @Test
     void doesNotUseUnsolicitedResponseForNextRequest() throws Exception {
         ServerPool pool = createPool(server.address(), SERVER_IDLE_TIMEOUT_US);
