Copy the pieces of a body, which kept the buffers of their socket reads

Cause: HttpObjectAggregator keeps each piece as a slice of its read buffer, up to 16 KiB of direct memory for 100 bytes, while RequestMemory counted the bytes. 24 MB of direct memory are used up by 140 clients.

Change: pieces are copied to the heap, and joined when there are more than 16, so that a body takes what is reserved.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -1,12 +1,16 @@
 package vetchpost.http;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.socket.DuplexChannel;
+import io.netty.handler.codec.http.FullHttpMessage;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
@@ -39,6 +43,8 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter implements ManagedConnection {
     private static final Logger LOG = System.getLogger(ClientConnection.class.getName());
     private static final int MAX_BODY_BYTES = 64 * 1024;
+    /** Pieces of a body that are kept apart before they are joined; more of them would cost more than their bytes. */
+    private static final int MAX_BODY_PIECES = 16;
     /** Further input is kept undecoded by {@link ReadAhead} once this many requests wait. */
     private static final int MAX_PIPELINED_REQUESTS = 16;
     /** Undecoded input is still read up to this limit, so that the client's disconnect is noticed. */
@@ -499,7 +505,23 @@
                 rejectAndClose(OVERLOADED);
                 return;
             }
-            super.channelRead(ctx, message);
+            super.channelRead(ctx, bytes > 0 ? copyToHeap((HttpContent) message) : message);
+        }
+
+        /** Copies a piece of a body: as received, a small one would keep the whole buffer of its socket read. */
+        private HttpContent copyToHeap(HttpContent received) {
+            try {
+                return received.replace(Unpooled.copiedBuffer(received.content()));
+            } finally {
+                received.release();
+            }
+        }
+
+        @Override
+        protected FullHttpMessage beginAggregation(HttpMessage start, ByteBuf emptyBody) throws Exception {
+            emptyBody.release();
+            return super.beginAggregation(
+                    start, new CompositeByteBuf(UnpooledByteBufAllocator.DEFAULT, false, MAX_BODY_PIECES));
         }
 
         @Override
--- a/src/test/java/vetchpost/daemon/PartialRequestsTest.java
+++ b/src/test/java/vetchpost/daemon/PartialRequestsTest.java
@@ -8,6 +8,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +26,19 @@
     private static final int STUCK_CLIENTS = 200;
     /** With the request line under the limit of 16 KiB for a head. */
     private static final int SHORT_LINES = 3_000;
+    /** Whose bodies fit into the memory for requests, a quarter of the heap, but not if each piece keeps its buffer. */
+    private static final int UPLOADING_CLIENTS = 140;
+
+    /** The first piece has the node read into larger buffers, of which the others fill little. */
+    private static final int[] PIECES_BYTES = {1_100, 100, 100, 100, 100, 100, 100};
+
+    private static final int PIECE_ROUNDS = 30;
+    /** With a last byte that ends the body. */
+    private static final int BODY_BYTES =
+            PIECE_ROUNDS * Arrays.stream(PIECES_BYTES).sum() + 1;
+
+    private static final int OTHER_REQUESTS = 50;
+    private static final long FIRST_OTHER_ID = 1_000;
 
     /** The protocol that the node speaks with its clients. */
     private enum Front {
@@ -77,21 +91,30 @@
 
     private void sendAndStop(String partialRequest) throws IOException {
         Socket client = node.connect();
+        client.setTcpNoDelay(true);
         stuckClients.add(client);
+        writeIfOpen(client, partialRequest);
+    }
+
+    private static void writeIfOpen(Socket client, String text) {
         try {
-            FakePeer.write(client, partialRequest);
+            FakePeer.write(client, text);
         } catch (IOException e) {
             // The node may reject the request and close the connection while it is written.
         }
     }
 
     private void assertServesOthers() throws Exception {
-        for (int i = 0; i < 50; i++) {
-            try (Socket client = node.connect()) {
-                FakePeer.write(client, Fixture.request("GET", "/view", 1_000 + i, "", ""));
-                String response = FakePeer.read(client);
-                assertTrue(response != null && response.startsWith("HTTP/1.1 200 "), () -> "not served: " + response);
-            }
+        for (int i = 0; i < OTHER_REQUESTS; i++) {
+            assertServed(FIRST_OTHER_ID + i);
+        }
+    }
+
+    private void assertServed(long id) throws Exception {
+        try (Socket client = node.connect()) {
+            FakePeer.write(client, Fixture.request("GET", "/view", id, "", ""));
+            String response = FakePeer.read(client);
+            assertTrue(response != null && response.startsWith("HTTP/1.1 200 "), () -> "not served: " + response);
         }
     }
 
@@ -116,4 +139,32 @@
         }
         assertHadEnoughMemory();
     }
+
+    /** Guards against a node that runs out of direct memory because each small piece of a body keeps a read buffer. */
+    @ParameterizedTest
+    @EnumSource(Front.class)
+    void servesOthersWhileClientsUploadInSmallPieces(Front testedFront) throws Exception {
+        start(testedFront);
+        for (int i = 0; i < UPLOADING_CLIENTS; i++) {
+            String whole = Fixture.request("POST", "/order", i, "", "x".repeat(BODY_BYTES));
+            sendAndStop(whole.substring(0, whole.length() - BODY_BYTES));
+        }
+        for (int round = 0; round < PIECE_ROUNDS; round++) {
+            for (int pieceBytes : PIECES_BYTES) {
+                String piece = "x".repeat(pieceBytes);
+                for (Socket client : stuckClients) {
+                    writeIfOpen(client, piece);
+                }
+                // By its answer the node has read the pieces, so that the next ones arrive by themselves.
+                assertServed(FIRST_OTHER_ID);
+            }
+        }
+        for (Socket client : stuckClients) {
+            writeIfOpen(client, "x");
+            String response = FakePeer.read(client);
+            assertTrue(response != null && response.startsWith("HTTP/1.1 "), () -> "no response: " + response);
+        }
+        assertServesOthers();
+        assertHadEnoughMemory();
+    }
 }
