Grow a response's body by what has arrived, not by the announced length

Related to the unfinished heads: a server that announced 64 KiB and sent nothing took 64 KiB of heap for each request in flight.

--- a/src/main/java/vetchpost/http/ResponseReader.java
+++ b/src/main/java/vetchpost/http/ResponseReader.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AsciiString;
-import java.util.Arrays;
 import vetchpost.core.ServerResponse;
 
 /**
@@ -27,8 +26,6 @@
     /** Informational responses before the final one; servers send one or two. */
     private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
-    private static final byte[] EMPTY_BODY = {};
-
     /** Netty's decoder without its leniency towards ambiguous header lines and many header fields. */
     static final class Decoder extends HttpResponseDecoder {
         private final HeaderFieldLimit fieldLimit = new HeaderFieldLimit();
@@ -73,8 +70,7 @@
     }
 
     private HttpResponse head;
-    private byte[] body = EMPTY_BODY;
-    private int bodySize;
+    private final BodyBuffer body = new BodyBuffer(MAX_BODY_BYTES);
     private int informationalResponses;
     private boolean complete;
 
@@ -109,19 +105,13 @@
                 || response.status().equals(HttpResponseStatus.SWITCHING_PROTOCOLS)) {
             throw new Exchange.MalformedResponse();
         }
-        body = length > 0 ? new byte[(int) length] : EMPTY_BODY;
     }
 
     private void appendBody(ByteBuf content) throws Exchange.MalformedResponse {
-        int addedBytes = content.readableBytes();
-        if (bodySize + addedBytes > MAX_BODY_BYTES) {
+        if (!body.hasRoomFor(content.readableBytes())) {
             throw new Exchange.MalformedResponse();
         }
-        if (bodySize + addedBytes > body.length) {
-            body = Arrays.copyOf(body, Math.min(MAX_BODY_BYTES, Math.max(bodySize + addedBytes, 2 * body.length)));
-        }
-        content.readBytes(body, bodySize, addedBytes);
-        bodySize += addedBytes;
+        body.add(content);
     }
 
     private void onLastContent() throws Exchange.MalformedResponse {
@@ -129,8 +119,7 @@
             if (++informationalResponses > MAX_INFORMATIONAL_RESPONSES) {
                 throw new Exchange.MalformedResponse();
             }
-            body = EMPTY_BODY;
-            bodySize = 0;
+            body.clear();
             return;
         }
         if (head.status().code() == 200 && !isFramed()) {
@@ -158,9 +147,6 @@
     }
 
     ServerResponse response() {
-        return new ServerResponse(
-                status(),
-                header(HttpHeaderNames.CONTENT_TYPE),
-                bodySize == body.length ? body : Arrays.copyOf(body, bodySize));
+        return new ServerResponse(status(), header(HttpHeaderNames.CONTENT_TYPE), body.toByteArray());
     }
 }
