End the process when its event loop has ended

Change: the loop's thread ends the process with code 1 and one line when it ends, whatever the cause. An orderly stop halts the process before that, as it did.

--- a/src/main/java/vetchpost/daemon/Main.java
+++ b/src/main/java/vetchpost/daemon/Main.java
@@ -78,7 +78,7 @@
      * @param routes the operator's file, or null for the platform's configuration alone
      */
     static void serve(Path routes) {
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = EventLoopThreads.newGroup();
         EventLoop loop = group.next();
         Map<String, String> environment = System.getenv();
         Node[] node = new Node[1];
@@ -187,9 +187,12 @@
      * @param code exit code of the process
      */
     static void exit(String reason, int code) {
-        System.err.println("vetchpost: " + reason);
-        // Halts without the shutdown hook, which would wait for a node that does not serve.
-        Runtime.getRuntime().halt(code);
+        try {
+            System.err.println("vetchpost: " + reason);
+        } finally {
+            // Halts without the shutdown hook, which would wait for a node that does not serve.
+            Runtime.getRuntime().halt(code);
+        }
     }
 
     /**
--- a/src/main/java/vetchpost/daemon/StandaloneMain.java
+++ b/src/main/java/vetchpost/daemon/StandaloneMain.java
@@ -2,8 +2,6 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
 import java.nio.file.Path;
@@ -28,7 +26,7 @@
             Main.exit(e.getMessage(), Main.EXIT_BAD_CONFIG);
             return;
         }
-        EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+        EventLoopGroup group = EventLoopThreads.newGroup();
         EventLoop loop = group.next();
         loop.execute(() -> start(loaded, file, group, loop));
     }
