Reserve memory for requests that wait behind another one on their connection

Callers of a node by an operator's file: clients that send hundreds of short requests at once behind one that is not answered used up the heap; others had no response within 30 s.

Cause: the queue of decoded input counted the bytes of bodies only, and each piece kept the buffer of its socket read. A request took some hundred bytes that nobody counted.

Buffered bodies are reserved by the capacity of their array. A rejected head's reservation is released at once: since it stayed for the second in which the connection lingers, and BodyStreamingTest#timesOutBodyWithoutProgress failed.

--- a/src/main/java/vetchpost/http/RequestMemory.java
+++ b/src/main/java/vetchpost/http/RequestMemory.java
@@ -16,7 +16,8 @@
     private final long maxBytes;
     private long bytes;
 
-    RequestMemory(long maxBytes) {
+    /** Creates a budget of this many bytes. */
+    public RequestMemory(long maxBytes) {
         this.maxBytes = maxBytes;
     }
 
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -1,5 +1,6 @@
 package vetchpost.web;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -27,15 +28,12 @@
 import java.io.IOException;
 import java.lang.System.Logger;
 import java.lang.System.Logger.Level;
-import java.util.ArrayDeque;
-import java.util.Arrays;
-import java.util.Deque;
-import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import vetchpost.core.BodySink;
 import vetchpost.core.BodySource;
 import vetchpost.core.Failure;
 import vetchpost.http.BadRequest;
+import vetchpost.http.BodyBuffer;
 import vetchpost.http.ClientServer;
 import vetchpost.http.HttpReply;
 import vetchpost.http.InputDiscarder;
@@ -51,15 +49,10 @@
  */
 final class WebConnection extends ChannelInboundHandlerAdapter implements ManagedConnection {
     private static final Logger LOG = System.getLogger(WebConnection.class.getName());
-    /** Bounds of the input queued behind the current request; above them the socket is not read. */
-    private static final int MAX_QUEUED_BYTES = 32 * 1_024;
-
-    private static final int MAX_QUEUED_PARTS = 64;
     /** Time for a client to read the last response before the connection is closed; its input is discarded. */
     private static final long CLOSE_LINGER_MS = 1_000;
 
     private static final int MAX_DISCARDED_BYTES = 1 << 20;
-    private static final byte[] NO_BYTES = {};
 
     /** How far the current request has been read. */
     private enum Phase {
@@ -88,14 +81,15 @@
     private final Channel channel;
     private final RequestDecoder decoder = new RequestDecoder();
     private final Encoder encoder = new Encoder();
-    private final Deque<HttpObject> queuedParts = new ArrayDeque<>();
+    private final InputQueue queuedParts;
     private final long openedNs;
     private final long connectionId;
-    private long queuedBytes;
     private Phase phase = Phase.HEAD;
     private HttpRequest head;
     private int classIndex;
-    private byte[] body = NO_BYTES;
+    /** The buffered beginning of the body, or all of it. */
+    private BodyBuffer body;
+
     private int bufferedBytes;
     private long bodyLength;
     private long streamedBytes;
@@ -115,6 +109,9 @@
     /** Whether the connection is closed after the response that is being streamed. */
     private boolean closesAfterStream;
 
+    /** Whether further input is discarded, and the connection closed once all queued requests are answered. */
+    private boolean inputEnded;
+
     private boolean responseWritten;
     private int pendingWrites;
     private String closeReason;
@@ -130,6 +127,7 @@
         openedNs = server.nanos();
         idleSinceNs = openedNs;
         connectionId = server.nextConnectionId();
+        queuedParts = new InputQueue(server.requestMemory());
         partialHeadMemory = server.requestMemory().newReservation();
     }
 
@@ -219,13 +217,17 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object message) {
-        if (discarder.isDiscarding() || !(message instanceof HttpObject part)) {
+        if (discarder.isDiscarding() || inputEnded || !(message instanceof HttpObject part)) {
             ReferenceCountUtil.release(message);
             return;
         }
         lastReadNs = server.nanos() - server.acceptDelayNs();
-        queuedParts.add(part);
-        queuedBytes += sizeOf(part);
+        if (!queuedParts.add(part)) {
+            onMemoryExhausted();
+            if (inputEnded) {
+                queuedParts.removeLast();
+            }
+        }
         if (!processingScheduled) {
             // Deferred until all available input has been read, because the client may close behind its request.
             processingScheduled = true;
@@ -249,31 +251,39 @@
 
     /** Reserves the memory of a partly received head; without enough of it no further input is accepted. */
     private void reservePartialHead() {
-        if (discarder.isDiscarding()) {
+        if (discarder.isDiscarding() || inputEnded) {
             return;
         }
         long decodedBytes = decoder.isMidHead() ? decoder.decodedHeadBytes() : 0;
-        if (partialHeadMemory.tryResize(decodedBytes + decoder.undecodedBytes())) {
+        if (!partialHeadMemory.tryResize(decodedBytes + decoder.undecodedBytes())) {
+            onMemoryExhausted();
+        }
+    }
+
+    /**
+     * Accepts no further input, because there is no memory to keep it. What is queued is still handled, and the
+     * connection is closed after that; a request that has just begun is rejected. A body that is being streamed is only
+     * read no further until the server has taken what is queued.
+     */
+    private void onMemoryExhausted() {
+        if (phase == Phase.STREAMING) {
             return;
         }
-        if (reply == null) {
+        if (reply == null && queuedParts.size() <= 1) {
             reject(overloaded());
-        } else {
-            discardInput();
-            decoder.discardPartialRequest(channel.pipeline());
+            return;
         }
+        inputEnded = true;
+        discardPartialHead();
     }
 
-    private static int sizeOf(HttpObject part) {
-        return part instanceof HttpContent content ? content.content().readableBytes() : 0;
+    private void discardPartialHead() {
+        decoder.discardPartialRequest(channel.pipeline());
+        partialHeadMemory.release();
     }
 
     private void updateAutoRead() {
-        channel.config()
-                .setAutoRead(
-                        discarder.isDiscarding()
-                                ? discarder.isReading()
-                                : queuedBytes < MAX_QUEUED_BYTES && queuedParts.size() < MAX_QUEUED_PARTS);
+        channel.config().setAutoRead(discarder.isDiscarding() ? discarder.isReading() : !queuedParts.isFull());
     }
 
     /** Processes queued input until it must wait for the response, the server or more input. */
@@ -295,7 +305,7 @@
 
     private boolean processPart(HttpObject part) {
         if (discarder.isDiscarding()) {
-            removeFirstPart();
+            queuedParts.removeFirst();
             return true;
         }
         if (part.decoderResult().isFailure()) {
@@ -303,7 +313,7 @@
                 return false; // The pending request before it is answered first.
             }
             Throwable cause = part.decoderResult().cause();
-            removeFirstPart();
+            queuedParts.removeFirst();
             rejectMalformed(BadRequest.malformed(cause));
             return true;
         }
@@ -315,25 +325,17 @@
         };
     }
 
-    private HttpObject removeFirstPart() {
-        HttpObject part = queuedParts.poll();
-        queuedBytes -= sizeOf(part);
-        ReferenceCountUtil.release(part);
-        return part;
-    }
-
     private boolean startRequest(HttpObject part) {
         if (!(part instanceof HttpRequest request)) {
-            removeFirstPart(); // The remainder of a rejected request.
+            queuedParts.removeFirst(); // The remainder of a rejected request.
             return true;
         }
         hasReceivedRequest = true;
         server.onRequestReceived(this);
         queuedParts.poll();
         head = request;
-        bufferedBytes = 0;
         streamedBytes = 0;
-        body = NO_BYTES;
+        body = new BodyBuffer(adapter.limits().bufferBytes());
         try {
             RequestCheck.check(request);
             classIndex = adapter.classOf(request);
@@ -352,8 +354,7 @@
             return true;
         }
         openedOverLimit = false;
-        reservedBytes =
-                RequestMemory.costOf(headBytes(request), request.headers().size(), 0);
+        reservedBytes = InputQueue.requestMemoryOf(request);
         if (!server.requestMemory().tryReserve(reservedBytes)) {
             reservedBytes = 0;
             reject(overloaded());
@@ -369,49 +370,28 @@
         return true;
     }
 
-    private static int headBytes(HttpRequest request) {
-        int bytes = request.uri().length();
-        for (Map.Entry<String, String> field : request.headers()) {
-            bytes += field.getKey().length() + field.getValue().length();
-        }
-        return bytes;
-    }
-
     private boolean bufferBody(HttpObject part) {
         HttpContent content = (HttpContent) part;
         int addedBytes = content.content().readableBytes();
-        if (bufferedBytes + addedBytes > adapter.limits().bufferBytes()) {
+        if (!body.hasRoomFor(addedBytes)) {
             remainder = new BodyRemainder();
             phase = Phase.STREAMING;
             dispatch();
             return true;
         }
-        if (!server.requestMemory().tryReserve(addedBytes)) {
+        int grownBytes = body.capacityWith(addedBytes) - body.capacityWith(0);
+        if (!server.requestMemory().tryReserve(grownBytes)) {
             reject(overloaded());
             return true;
         }
-        reservedBytes += addedBytes;
-        if (bufferedBytes + addedBytes > body.length) {
-            int expectedBytes = bodyLength < Long.MAX_VALUE
-                    ? (int) Math.min(adapter.limits().bufferBytes(), bodyLength)
-                    : 0;
-            body = Arrays.copyOf(
-                    body,
-                    Math.max(
-                            bufferedBytes + addedBytes,
-                            Math.max(
-                                    expectedBytes,
-                                    Math.min(2 * body.length, adapter.limits().bufferBytes()))));
-        }
-        // Copied without moving the reader index, because queuedBytes counts the readable bytes.
-        content.content().getBytes(content.content().readerIndex(), body, bufferedBytes, addedBytes);
-        bufferedBytes += addedBytes;
+        reservedBytes += grownBytes;
+        body.add(content.content());
         boolean last = part instanceof LastHttpContent;
-        removeFirstPart();
+        queuedParts.removeFirst();
         if (last) {
             phase = Phase.COMPLETE;
             remainder = null;
-            bodyLength = bufferedBytes;
+            bodyLength = body.size();
             dispatch();
         }
         return true;
@@ -425,8 +405,9 @@
             reply.sendLocalResponse(HttpReply.plain(HttpResponseStatus.OK, "rehearsed"));
             return;
         }
-        byte[] bufferedBody = bufferedBytes == body.length ? body : Arrays.copyOf(body, bufferedBytes);
-        body = NO_BYTES;
+        bufferedBytes = body.size();
+        byte[] bufferedBody = body.toByteArray();
+        body = null;
         server.handle(
                 adapter.createRequest(head, classIndex, channel.remoteAddress(), bufferedBody, remainder, bodyLength),
                 reply,
@@ -467,9 +448,11 @@
                 return false;
             }
             HttpContent content = (HttpContent) part;
-            byte[] bytes = ByteBufUtil.getBytes(content.content());
+            ByteBuf piece = content.content();
+            // Without a copy, because the queue keeps each piece in an array of its own.
+            byte[] bytes = ByteBufUtil.getBytes(piece, piece.readerIndex(), piece.readableBytes(), false);
             boolean last = part instanceof LastHttpContent;
-            removeFirstPart();
+            queuedParts.removeFirst();
             streamedBytes += bytes.length;
             if (bufferedBytes + streamedBytes > adapter.limits().maxBodyBytes()) {
                 BodySink target = sink;
@@ -533,7 +516,7 @@
         }
         discardInput();
         lingering = true;
-        decoder.discardPartialRequest(channel.pipeline());
+        discardPartialHead();
         FullHttpResponse response = e.status().equals(HttpResponseStatus.SERVICE_UNAVAILABLE)
                 ? HttpReply.serviceUnavailable(e.getMessage(), server.retryAfterUs())
                 : HttpReply.plain(e.status(), e.getMessage());
@@ -555,9 +538,7 @@
 
     private void discardInput() {
         discarder.startDiscarding();
-        while (!queuedParts.isEmpty()) {
-            removeFirstPart();
-        }
+        queuedParts.clear();
         updateAutoRead();
     }
 
@@ -612,7 +593,11 @@
     }
 
     private boolean closesAfterResponse() {
-        return !keepAlive || discarder.isDiscarding() || phase == Phase.STREAMING || server.closesAfterResponse();
+        return !keepAlive
+                || discarder.isDiscarding()
+                || inputEnded && queuedParts.isEmpty()
+                || phase == Phase.STREAMING
+                || server.closesAfterResponse();
     }
 
     private static void setConnectionHeader(HttpMessage response, boolean last) {
@@ -637,7 +622,8 @@
 
     /** Called when the response has been written. */
     private void onResponseWritten(boolean last) {
-        if (phase == Phase.STREAMING || last || server.isClosing() || discarder.isDiscarding()) {
+        boolean endsHere = last || inputEnded && queuedParts.isEmpty();
+        if (phase == Phase.STREAMING || endsHere || server.isClosing()) {
             lingering = true;
             discardInput();
             linger();
@@ -679,9 +665,7 @@
             server.log().write("closed", connectionId, closeReason == null ? "by the client" : closeReason);
         }
         server.onClosed(this);
-        while (!queuedParts.isEmpty()) {
-            removeFirstPart();
-        }
+        queuedParts.clear();
         partialHeadMemory.release();
         server.requestMemory().release(reservedBytes);
         reservedBytes = 0;
--- a/src/test/java/vetchpost/daemon/PartialRequestsTest.java
+++ b/src/test/java/vetchpost/daemon/PartialRequestsTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -37,6 +38,10 @@
     private static final int BODY_BYTES =
             PIECE_ROUNDS * Arrays.stream(PIECES_BYTES).sum() + 1;
 
+    private static final int QUEUEING_CLIENTS = 120;
+    /** They fit into two reads of a socket. */
+    private static final int QUEUED_REQUESTS = 1_100;
+
     private static final int OTHER_REQUESTS = 50;
     private static final long FIRST_OTHER_ID = 1_000;
 
@@ -167,4 +172,44 @@
         assertServesOthers();
         assertHadEnoughMemory();
     }
+
+    /** Guards against a node that runs out of heap on requests that wait behind another one of their connection. */
+    @Test
+    void answersOthersWhileRequestsQueueBehindUnansweredOne() throws Exception {
+        FakePeer.Script answer = FakePeer.answer("200 OK", "", "done");
+        server.script((socket, request) -> {
+            if (!request.startsWith("GET /unanswered")) {
+                answer.run(socket, request);
+            }
+        });
+        start(Front.WEB);
+        String queued = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(QUEUED_REQUESTS);
+        for (int i = 0; i < QUEUEING_CLIENTS; i++) {
+            sendAndStop("GET /unanswered HTTP/1.1\r\nHost: a\r\n\r\n" + queued);
+        }
+        for (int i = 0; i < OTHER_REQUESTS; i++) {
+            try (Socket client = node.connect()) {
+                FakePeer.write(client, RunningNode.get("/", ""));
+                // The only server has many requests by now, so that this one may be rejected.
+                String response = FakePeer.read(client);
+                assertTrue(response != null && response.startsWith("HTTP/1.1 "), () -> "no response: " + response);
+            }
+        }
+        assertHadEnoughMemory();
+    }
+
+    /** Of more requests at once than a connection may queue, those that are queued are served. */
+    @Test
+    void servesQueuedRequestsBeforeClosingOverfullConnection() throws Exception {
+        start(Front.WEB);
+        sendAndStop("GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(QUEUED_REQUESTS));
+        int served = 0;
+        String response = FakePeer.read(stuckClients.get(0));
+        while (response != null) {
+            assertTrue(response.startsWith("HTTP/1.1 200 "), response);
+            served++;
+            response = FakePeer.read(stuckClients.get(0));
+        }
+        assertTrue(served > 10, served + " served");
+    }
 }
