Keep a rehearsal's requests from the servers by their connections, not by a field

Cause: the node knew its rehearsal by a header field, which the web front removes on the way out of the rehearsing node.

Change: RehearsalConnections knows the accepted connections whose other end is the rehearsal's own socket, and ClientServer.handle, the one way to the decision module, answers what comes on them. The field is gone; a client could send it on the platform's front, where the token follows from the configured seed.

RehearsalTest counts what servers receive at two starts of each front and at a reload: before, the standalone node failed with the rehearsal's requests; both pass now.

--- a/src/main/java/vetchpost/http/ClientConnection.java
+++ b/src/main/java/vetchpost/http/ClientConnection.java
@@ -296,10 +296,6 @@
                 sendResponse(readinessResponse(http), keepAlive);
                 return;
             }
-            if (server.isRehearsal(http)) {
-                sendResponse(HttpReply.plain(HttpResponseStatus.OK, "rehearsed"), keepAlive);
-                return;
-            }
             if (overConnectionLimit && server.isOverConnectionLimit()) {
                 sendResponse(
                         HttpReply.serviceUnavailable("too many connections, try again", server.retryAfterUs()), false);
@@ -308,7 +304,7 @@
             overConnectionLimit = false;
             ClientRequest request = server.read(http);
             pendingReply = new HttpReply(this, keepAlive);
-            server.handle(request, pendingReply, arrivedNs);
+            server.handle(channel, request, pendingReply, arrivedNs);
         } catch (BadRequest e) {
             answerBadRequest(e, http);
         } catch (RuntimeException | Error e) {
--- a/src/main/java/vetchpost/http/ClientServer.java
+++ b/src/main/java/vetchpost/http/ClientServer.java
@@ -6,9 +6,10 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -19,6 +20,7 @@
 import vetchpost.core.ClientReply;
 import vetchpost.core.ClientRequest;
 import vetchpost.core.RequestLog;
+import vetchpost.core.ServerResponse;
 import vetchpost.decision.Balancer.RequestClass;
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.net.Network;
@@ -30,9 +32,6 @@
  * {@link RequestHandler}. The node starts, drains and closes it. All calls come on its event loop.
  */
 public final class ClientServer {
-    /** Header that marks rehearsal requests; its value is the token of {@link #setRehearsal}. */
-    public static final String REHEARSAL_HEADER = "X-Rehearsal";
-
     /**
      * Lower bound of the request timeout. The timeout is the longest deadline of the request classes, within these
      * bounds; it limits the wait for a connection's first request, the reception of a request from first byte to
@@ -53,6 +52,9 @@
     /** How long a new connection may stay without a request once the node no longer accepts connections. */
     private static final long DRAIN_SILENCE_TIMEOUT_NS = TimeUnit.MILLISECONDS.toNanos(200);
 
+    private static final String PLAIN_TEXT = "text/plain; charset=utf-8";
+    private static final byte[] REHEARSED = "rehearsed\n".getBytes(StandardCharsets.US_ASCII);
+
     /** Receives the requests of all connections. */
     public interface RequestHandler {
         /**
@@ -84,7 +86,7 @@
     private long acceptDelayNs;
     private long lastSweepNs;
     private boolean skippedLateSweep;
-    private String rehearsalToken;
+    private final RehearsalConnections rehearsalConnections = new RehearsalConnections();
     private Supplier<String> readinessDetail;
     private Supplier<String> readinessNote;
     private boolean ready;
@@ -186,12 +188,15 @@
         }
     }
 
-    /**
-     * Sets the token of rehearsal requests, which are answered here and never sent to a server. It stays in effect
-     * after the rehearsal, because requests of one that was cut short may still arrive.
-     */
-    public void setRehearsal(String token) {
-        rehearsalToken = token;
+    /** The connections of the node's rehearsal, whose requests are answered here and never passed on. */
+    public RehearsalConnections rehearsalConnections() {
+        return rehearsalConnections;
+    }
+
+    /** Sets up a connection of the rehearsal that does not come through a socket. */
+    public void openForRehearsal(ChannelPipeline pipeline) {
+        rehearsalConnections.addAccepted(pipeline.channel());
+        open(pipeline);
     }
 
     /** Has {@code /ready} report the node as ready from now on. */
@@ -286,21 +291,22 @@
         return draining ? "stopping" : ready ? null : "starting";
     }
 
-    /** Whether the request is part of a rehearsal and has to be answered without a server. */
-    public boolean isRehearsal(HttpRequest http) {
-        return rehearsalToken != null && rehearsalToken.equals(http.headers().get(REHEARSAL_HEADER));
-    }
-
     ClientRequest read(FullHttpRequest http) throws BadRequest {
         return reader.read(http);
     }
 
     /**
-     * Passes a request to the request handler.
+     * Passes a request to the request handler. Requests of the rehearsal end here, whatever protocol they came by: no
+     * server may receive a request that no client has sent.
      *
+     * @param channel the connection that the request came on
      * @param arrivedNs when its last byte arrived, in nanoseconds by the loop's ticker
      */
-    public void handle(ClientRequest request, ClientReply reply, long arrivedNs) {
+    public void handle(Channel channel, ClientRequest request, ClientReply reply, long arrivedNs) {
+        if (rehearsalConnections.contains(channel)) {
+            reply.served(new ServerResponse(HttpResponseStatus.OK.code(), PLAIN_TEXT, REHEARSED));
+            return;
+        }
         requestHandler.handle(request, reply, (nanos() - arrivedNs) / 1_000);
     }
 
@@ -341,6 +347,7 @@
      */
     public boolean onOpened(ManagedConnection connection, long number, Channel channel) {
         sockets.addClient();
+        rehearsalConnections.onAccepted(channel);
         if (log.isEnabled()) {
             log.write("accept", number, channel.remoteAddress(), "at", channel.localAddress(), sockets);
         }
--- a/src/main/java/vetchpost/node/Node.java
+++ b/src/main/java/vetchpost/node/Node.java
@@ -9,7 +9,6 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import vetchpost.config.NodeConfig;
@@ -25,6 +24,7 @@
 import vetchpost.decision.Balancer.Settings;
 import vetchpost.discovery.DiscoveryClient;
 import vetchpost.http.ClientServer;
+import vetchpost.http.RehearsalConnections;
 import vetchpost.http.ServerPool;
 import vetchpost.net.LoopClock;
 import vetchpost.net.MemoryNetwork;
@@ -268,19 +268,16 @@
     public void warmUp(int requests, Runnable next) {
         // The first log line costs as much as fifty requests, so it is written before the node listens.
         LOG.log(Level.INFO, "warming up");
-        String token = rehearsalToken();
-        clients.setRehearsal(token);
         if (isListPushed()) {
             // A pushed list counts as received from the process's start; it arrives during the warm-up.
             subscribePushed();
         }
         new Rehearsal(
                         loop,
-                        new MemoryNetwork(clients::open),
+                        new MemoryNetwork(clients::openForRehearsal),
                         config,
                         protocolAdapters,
                         config.listen(),
-                        token,
                         requests,
                         MAX_REHEARSAL_MS,
                         () -> runAfterYield(() -> {
@@ -328,10 +325,6 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private String rehearsalToken() {
-        return Long.toHexString(new SplittableRandom(config.seed()).nextLong());
-    }
-
     /** Applies the known list, once. Done before clients can connect, since it takes as long as some requests. */
     private void prepare() {
         if (prepared) {
@@ -372,8 +365,6 @@
                 // Logged now also because the first line opens files of the runtime: without descriptors left it
                 // would throw an Error on the event loop, where only the log would show it.
                 LOG.log(Level.INFO, "listening on {0}", binding.channel().localAddress());
-                String token = rehearsalToken();
-                clients.setRehearsal(token);
                 Runnable serve = () -> {
                     clients.setReady();
                     whenReady.run();
@@ -389,23 +380,32 @@
                 } else {
                     // Only after the event loop has accepted the clients that connected meanwhile.
                     Runnable onRehearsed = ready;
-                    runAfterYield(() -> new Rehearsal(
-                                    loop,
-                                    network,
-                                    config,
-                                    protocolAdapters,
-                                    (InetSocketAddress) binding.channel().localAddress(),
-                                    token,
-                                    requests,
-                                    MAX_REHEARSAL_MS,
-                                    onRehearsed)
-                            .run());
+                    runAfterYield(() -> rehearseOverSockets(
+                            (InetSocketAddress) binding.channel().localAddress(), requests, onRehearsed));
                 }
             }
         });
         return binding;
     }
 
+    private void rehearseOverSockets(InetSocketAddress self, int requests, Runnable onRehearsed) {
+        RehearsalConnections connections = clients.rehearsalConnections();
+        connections.start();
+        new Rehearsal(
+                        loop,
+                        new RehearsalNetwork(network, connections),
+                        config,
+                        protocolAdapters,
+                        self,
+                        requests,
+                        MAX_REHEARSAL_MS,
+                        () -> {
+                            connections.stop();
+                            onRehearsed.run();
+                        })
+                .run();
+    }
+
     /** Sets the routes of requests from now on; pending requests keep theirs. */
     public void setRoutes(RoutePolicy policy) {
         dispatcher.setRoutes(policy);
--- a/src/main/java/vetchpost/node/Rehearsal.java
+++ b/src/main/java/vetchpost/node/Rehearsal.java
@@ -15,7 +15,6 @@
 import vetchpost.decision.Balancer.Idempotency;
 import vetchpost.decision.Balancer.RequestClass;
 import vetchpost.decision.Balancer.ServerState;
-import vetchpost.http.ClientServer;
 import vetchpost.net.Network;
 import vetchpost.net.SocketBudget;
 
@@ -23,7 +22,8 @@
  * Sends synthetic requests through a node before it reports itself ready. Right after the start, class loading and
  * unoptimised code cost the first requests up to 0.2 s of CPU time each, so that they and those behind them missed
  * their deadlines. A second node with state of its own sends them over real connections to the first node, which
- * recognises them by a token and answers them itself; none reaches a server or the first node's decision module.
+ * recognises these connections ({@link vetchpost.http.RehearsalConnections}) and answers them itself; none reaches a
+ * server or the first node's decision module.
  * {@link Node} runs it on its event loop.
  */
 final class Rehearsal {
@@ -32,7 +32,6 @@
 
     private final EventLoop loop;
     private final NodeConfig config;
-    private final String token;
     private final int requests;
     private final long deadlineNs;
     private final Runnable onDone;
@@ -55,12 +54,10 @@
             NodeConfig nodeConfig,
             ProtocolAdapters protocolAdapters,
             InetSocketAddress self,
-            String token,
             int requests,
             long maxMs,
             Runnable onDone) {
         this.loop = loop;
-        this.token = token;
         this.requests = requests;
         this.onDone = onDone;
         deadlineNs = loop.ticker().nanoTime() + TimeUnit.MILLISECONDS.toNanos(maxMs);
@@ -115,8 +112,7 @@
                 (isSafe ? "GET" : "POST") + " /" + requestClass.name() + " HTTP/1.1\r\n"
                         + "Host: backend.local\r\nX-Txn: " + HexFormat.of().toHexDigits((long) number) + "\r\n"
                         + tenant
-                        + "Cookie: key=1\r\nX-Remaining-Ms: 3000\r\n" + ClientServer.REHEARSAL_HEADER + ": " + token
-                        + "\r\n"
+                        + "Cookie: key=1\r\nX-Remaining-Ms: 3000\r\n"
                         + (isSafe ? "" : "Content-Length: 4\r\n")
                         + (requestClass.idempotency() == Idempotency.KEYED ? "Idempotency-Key: " + number + "\r\n" : "")
                         + "\r\n" + (isSafe ? "" : "body"),
--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -401,14 +401,11 @@
         encoder.respondsToHead = head.method().equals(HttpMethod.HEAD);
         reply = new WebReply(
                 this, adapter, encoder.respondsToHead, head.protocolVersion().equals(HttpVersion.HTTP_1_0));
-        if (server.isRehearsal(head)) {
-            reply.sendLocalResponse(HttpReply.plain(HttpResponseStatus.OK, "rehearsed"));
-            return;
-        }
         bufferedBytes = body.size();
         byte[] bufferedBody = body.toByteArray();
         body = null;
         server.handle(
+                channel,
                 adapter.createRequest(head, classIndex, channel.remoteAddress(), bufferedBody, remainder, bodyLength),
                 reply,
                 server.nanos());
--- a/src/main/java/vetchpost/web/WebProtocolAdapter.java
+++ b/src/main/java/vetchpost/web/WebProtocolAdapter.java
@@ -128,10 +128,7 @@
         }
         boolean isRetry = "1".equals(headers.get(RESENT_HEADER));
         RequestCheck.dropHopByHop(headers);
-        headers.remove(HttpHeaderNames.EXPECT)
-                .remove(REMAINING_MS_HEADER)
-                .remove(RESENT_HEADER)
-                .remove("X-Rehearsal");
+        headers.remove(HttpHeaderNames.EXPECT).remove(REMAINING_MS_HEADER).remove(RESENT_HEADER);
         if (remainder == null) {
             headers.remove(HttpHeaderNames.CONTENT_LENGTH);
             if (body.length > 0 || requiresContentLength(head)) {
