Have a scripted peer of the tests be gone once it is closed

Traced: ServerSocket.close() signals the thread that waits in accept(), but until that thread has run again the system goes on accepting connections for it. FakePeer.close() now joins it.

--- a/src/test/java/vetchpost/testing/FakePeer.java
+++ b/src/test/java/vetchpost/testing/FakePeer.java
@@ -40,12 +40,13 @@
     public final BlockingQueue<Socket> accepted = new LinkedBlockingQueue<>();
     private final Queue<Socket> openSockets = new ConcurrentLinkedQueue<>();
     private final ServerSocket serverSocket;
+    private final Thread acceptor;
     private volatile Script script;
 
     public FakePeer(Script script) throws IOException {
         this.script = script;
         serverSocket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        startDaemonThread(() -> {
+        acceptor = startDaemonThread(() -> {
             while (true) {
                 Socket socket = serverSocket.accept();
                 openSockets.add(socket);
@@ -133,16 +134,26 @@
     @Override
     public void close() throws IOException {
         serverSocket.close();
+        // Until the thread that waits in accept() has run again, the system still accepts connections.
+        awaitEnd(acceptor);
         for (Socket socket : openSockets) {
             socket.close();
         }
     }
 
+    private static void awaitEnd(Thread thread) {
+        try {
+            thread.join(TimeUnit.SECONDS.toMillis(TIMEOUT_S));
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private interface IoTask {
         void run() throws IOException, InterruptedException;
     }
 
-    private static void startDaemonThread(IoTask task) {
+    private static Thread startDaemonThread(IoTask task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -153,5 +164,6 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 }
