Find a request's class again when a reload came while it was received

Cause: WebConnection kept the index of the class from the head, and the body's end passed it to the core of the new configuration, where it meant another class or none. What then threw was answered by nobody.

Change: the class is found again if the configuration has changed, in the turn in which the request is passed on; an error out of the request handler is answered and closes the connection.

--- a/src/main/java/vetchpost/web/WebConnection.java
+++ b/src/main/java/vetchpost/web/WebConnection.java
@@ -87,6 +87,9 @@
     private Phase phase = Phase.HEAD;
     private HttpRequest head;
     private int classIndex;
+    /** The configuration in which {@link #classIndex} was found. */
+    private int configurationNumber;
+
     /** The buffered beginning of the body, or all of it. */
     private BodyBuffer body;
 
@@ -338,7 +341,7 @@
         body = new BodyBuffer(adapter.limits().bufferBytes());
         try {
             RequestCheck.check(request);
-            classIndex = adapter.classOf(request);
+            findClass();
             bodyLength = HttpUtil.isTransferEncodingChunked(request)
                     ? Long.MAX_VALUE
                     : HttpUtil.getContentLength(request, 0L);
@@ -370,6 +373,11 @@
         return true;
     }
 
+    private void findClass() throws BadRequest {
+        classIndex = adapter.classOf(head);
+        configurationNumber = adapter.configurationNumber();
+    }
+
     private boolean bufferBody(HttpObject part) {
         HttpContent content = (HttpContent) part;
         int addedBytes = content.content().readableBytes();
@@ -398,17 +406,31 @@
     }
 
     private void dispatch() {
+        if (configurationNumber != adapter.configurationNumber()) {
+            // A reload came while the request was being received: its class may have another index, or be gone.
+            try {
+                findClass();
+            } catch (BadRequest e) {
+                reject(e);
+                return;
+            }
+        }
         encoder.respondsToHead = head.method().equals(HttpMethod.HEAD);
         reply = new WebReply(
                 this, adapter, encoder.respondsToHead, head.protocolVersion().equals(HttpVersion.HTTP_1_0));
         bufferedBytes = body.size();
         byte[] bufferedBody = body.toByteArray();
         body = null;
-        server.handle(
-                channel,
-                adapter.createRequest(head, classIndex, channel.remoteAddress(), bufferedBody, remainder, bodyLength),
-                reply,
-                server.nanos());
+        try {
+            server.handle(
+                    channel,
+                    adapter.createRequest(
+                            head, classIndex, channel.remoteAddress(), bufferedBody, remainder, bodyLength),
+                    reply,
+                    server.nanos());
+        } catch (RuntimeException | Error e) {
+            onInternalError(e);
+        }
     }
 
     /** The part of a body that is not buffered, streamed to the server that has received the buffered part. */
@@ -681,6 +703,11 @@
             close("broken");
             return;
         }
+        onInternalError(cause);
+    }
+
+    /** Answers the pending request with an error; closes the connection if there is none to answer. */
+    private void onInternalError(Throwable cause) {
         LOG.log(Level.ERROR, "unexpected error in a client connection handler", cause);
         if (reply != null && !reply.isAnswered()) {
             reply.markMayHaveRun();
--- a/src/main/java/vetchpost/web/WebProtocolAdapter.java
+++ b/src/main/java/vetchpost/web/WebProtocolAdapter.java
@@ -38,6 +38,7 @@
     private WebLimits limits;
     private final LongSupplier unixMsClock;
     private long lastRequestNumber;
+    private int configurationNumber;
 
     /**
      * Creates an adapter.
@@ -54,11 +55,20 @@
         this.unixMsClock = unixMsClock;
     }
 
-    /** Replaces the configuration for requests from now on; pending ones keep their class and deadline. */
+    /**
+     * Replaces the configuration for requests from now on, those included that are partly received; pending ones keep
+     * their class and deadline.
+     */
     public void reconfigure(Settings newSettings, Classifier newClassifier, WebLimits newLimits) {
         settings = newSettings;
         classifier = newClassifier;
         limits = newLimits;
+        configurationNumber++;
+    }
+
+    /** Changes with each configuration; the index of a class means something within one configuration only. */
+    int configurationNumber() {
+        return configurationNumber;
     }
 
     WebLimits limits() {
