Collect a server's response with BodyBuffer in the web front too

The comment of RehearsalConnections#addClient says what is needed: before the node reads what is sent.

--- a/src/main/java/vetchpost/http/RehearsalConnections.java
+++ b/src/main/java/vetchpost/http/RehearsalConnections.java
@@ -27,7 +27,7 @@
         running = false;
     }
 
-    /** Adds a connection that the rehearsal has made; to be called before anything is sent on it. */
+    /** Adds a connection that the rehearsal has made; to be called before the node reads what is sent on it. */
     public void addClient(SocketAddress clientAddress) {
         clientAddresses.add(clientAddress);
     }
--- a/src/main/java/vetchpost/web/WebExchange.java
+++ b/src/main/java/vetchpost/web/WebExchange.java
@@ -21,7 +21,6 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import vetchpost.core.BodySink;
 import vetchpost.core.BodySource;
@@ -29,6 +28,7 @@
 import vetchpost.core.ServerResponse;
 import vetchpost.core.ServerTransport.OutgoingRequest;
 import vetchpost.decision.Balancer.Result;
+import vetchpost.http.BodyBuffer;
 import vetchpost.http.Exchange;
 import vetchpost.http.HeaderFields;
 import vetchpost.standalone.WebLimits;
@@ -42,7 +42,6 @@
     /** Informational responses before the final one; servers send one or two. */
     private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
-    private static final byte[] NO_BYTES = {};
     private static final String EVENT_STREAM = "text/event-stream";
 
     private final WebProtocolAdapter adapter;
@@ -51,8 +50,7 @@
     private final ClientRequest request;
     private Channel channel;
     private HttpResponse head;
-    private byte[] buffer = NO_BYTES;
-    private int bufferedBytes;
+    private final BodyBuffer buffer;
     private int informationalCount;
     private BodySink clientSink;
     private boolean streaming;
@@ -75,6 +73,7 @@
         this.adapter = adapter;
         this.outgoing = outgoing;
         limits = adapter.limits();
+        buffer = new BodyBuffer(limits.bufferBytes());
         request = outgoing.request();
     }
 
@@ -248,14 +247,8 @@
 
     private void readBody(HttpContent content, boolean last) {
         int addedBytes = content.content().readableBytes();
-        if (!streaming && bufferedBytes + addedBytes <= limits.bufferBytes()) {
-            if (bufferedBytes + addedBytes > buffer.length) {
-                buffer = Arrays.copyOf(
-                        buffer,
-                        Math.max(bufferedBytes + addedBytes, Math.min(limits.bufferBytes(), 2 * buffer.length)));
-            }
-            content.content().readBytes(buffer, bufferedBytes, addedBytes);
-            bufferedBytes += addedBytes;
+        if (!streaming && buffer.hasRoomFor(addedBytes)) {
+            buffer.add(content.content());
             if (!last) {
                 startStreamingSoon();
             }
@@ -311,7 +304,7 @@
             timer = null;
         }
         recordProgress();
-        if (outgoing.onResponseStarted(createResponse(Arrays.copyOf(buffer, bufferedBytes), this))) {
+        if (outgoing.onResponseStarted(createResponse(buffer.toByteArray(), this))) {
             scheduleProgressCheck();
         } else {
             channel.close();
@@ -376,9 +369,7 @@
 
     @Override
     public ServerResponse response() {
-        return streaming
-                ? null
-                : createResponse(bufferedBytes == buffer.length ? buffer : Arrays.copyOf(buffer, bufferedBytes), null);
+        return streaming ? null : createResponse(buffer.toByteArray(), null);
     }
 
     @Override
