Have a test of lost watches begin its watch before the next script

Traced: the test sets the script RESET right after the node's start, and the thread that serves the first watch reads the script only once it has read the request. On a busy machine it met RESET and closed the socket itself; nothing else in the test closes one. The test now waits until the watch has begun. Its bounds are as they were; it passes.

--- a/src/test/java/vetchpost/node/WatchRacesTest.java
+++ b/src/test/java/vetchpost/node/WatchRacesTest.java
@@ -217,8 +217,14 @@
     @Test
     void reopensLostPushedWatchWithinDrainGrace() throws Exception {
         createNode(true);
-        discovery.script((socket, request) -> Fixture.beginWatch(socket));
+        CountDownLatch watchBegun = new CountDownLatch(1);
+        discovery.script((socket, request) -> {
+            Fixture.beginWatch(socket);
+            watchBegun.countDown();
+        });
         loop.submit(() -> node.start(group, 0, () -> {})).get();
+        // Otherwise the first request could meet the next script, and the watch would be lost before it is open.
+        assertTrue(watchBegun.await(FakePeer.TIMEOUT_S, TimeUnit.SECONDS));
         long requests = 0;
         long startNs = System.nanoTime();
         discovery.script(FakePeer.RESET);
